Add settings, calls between daemons, ingress and the way of a request

Cause: a request must pass through real processes before anything can be measured. Change: checked INI settings, capnp-rpc between daemons, the tide and async-h1 ingress, the backend server adapter, supervisor, metrics and logs.

--- /dev/null
+++ b/schema/call.capnp
@@ -0,0 +1,62 @@
+@0xd5b9a1c7f3e84a21;
+# Calls between daemons.
+
+interface Peer {
+  # Runs one call on the worker behind the receiving daemon.
+  call @0 (call :Call) -> (reply :Reply);
+}
+
+struct Call {
+  requestIdHigh @0 :UInt64;
+  requestIdLow @1 :UInt64;
+  service @2 :Text;
+  class @3 :Text;
+  importance @4 :UInt8;
+  idempotent @5 :Bool;
+  incarnation @6 :UInt64;
+  # Time left, so that the daemons' clocks need not agree.
+  remainingUs @7 :UInt64;
+  # Retries that the callee may use.
+  retryTokens @8 :UInt8;
+  depth @9 :UInt8;
+  ticket @10 :Text;
+  firstAttempt @11 :Bool;
+  exclusive @12 :Bool;
+  request @13 :Message;
+  # Method and target of the HTTP request.
+  method @14 :Text;
+  target @15 :Text;
+}
+
+struct Message {
+  headers @0 :List(Header);
+  body @1 :Data;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Reply {
+  retryTokens @0 :UInt8;
+  # Lowest admission level on the call's way, for its importance.
+  pathLevel @1 :UInt32;
+  union {
+    answer @2 :Answer;
+    refusal @3 :Refusal;
+  }
+}
+
+struct Answer {
+  status @0 :UInt16;
+  message @1 :Message;
+}
+
+struct Refusal {
+  # 1: not-run, 2: unknown.
+  outcome @0 :UInt8;
+  reason @1 :UInt8;
+  # Zero means that there is no advice.
+  retryAfterMs @2 :UInt32;
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,119 @@
+//! Subcommands, one file each.
+
+mod args;
+mod ask;
+mod check;
+mod daemon;
+mod dump;
+
+pub use args::{Shallotdeal, ShallotdealCmd};
+
+use {
+    crate::settings::{Faults, Settings},
+    derive_more::{Display, Error, From},
+    smol_str::SmolStr,
+    std::{path::Path, process::ExitCode},
+};
+
+/// Exit code for faults of settings, arguments or statements.
+pub const EXIT_FAULTY_INPUT: u8 = 2;
+
+/// Exit code for everything else that fails.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Something that runs as a subcommand.
+pub trait Run {
+    /// Runs the subcommand to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the user is to be told.
+    fn run(&self) -> Result<(), CommandError>;
+}
+
+/// Failure of a subcommand.
+#[derive(Debug)]
+#[derive(Display, Error, From)]
+pub enum CommandError {
+    /// A file could not be read.
+    #[display("read {path}: {error}")]
+    #[from(skip)]
+    File {
+        /// Path as given.
+        path: SmolStr,
+        /// Cause.
+        #[error(source)]
+        error: std::io::Error,
+    },
+    /// Settings are faulty.
+    #[display("{_0}")]
+    Settings(Faults),
+    /// A daemon could not be asked.
+    #[display("{step} {peer}: {detail}")]
+    #[from(skip)]
+    Peer {
+        /// Step that failed.
+        step: &'static str,
+        /// Address of the daemon.
+        peer: SmolStr,
+        /// Cause.
+        detail: String,
+    },
+    /// Statements were refused; nothing was changed.
+    #[display("{detail}")]
+    #[from(skip)]
+    Refused {
+        /// What is wrong with them.
+        #[error(not(source))]
+        detail: String,
+    },
+    /// A part of the daemon could not be kept running.
+    #[display("{_0}")]
+    Task(crate::supervisor::TaskError),
+}
+
+impl CommandError {
+    /// Exit code that tells of this failure.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings(_) | Self::Refused { .. } => EXIT_FAULTY_INPUT,
+            _ => EXIT_FAILED,
+        }
+    }
+}
+
+impl Run for Shallotdeal {
+    fn run(&self) -> Result<(), CommandError> {
+        match &self.subcommand {
+            ShallotdealCmd::Daemon(cmd) => cmd.run(),
+            ShallotdealCmd::Check(cmd) => cmd.run(),
+            ShallotdealCmd::Ask(cmd) => cmd.run(),
+            ShallotdealCmd::Dump(cmd) => cmd.run(),
+        }
+    }
+}
+
+/// Parses the arguments, runs the subcommand and tells how it ended.
+pub fn main() -> ExitCode {
+    if std::env::args().nth(1).is_some_and(|arg| arg == "--version" || arg == "-V") {
+        println!("shallotdeal {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let parsed = Shallotdeal::from_env_or_exit();
+    match parsed.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("shallotdeal: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+fn load(path: &Path) -> Result<Settings, CommandError> {
+    let text = std::fs::read_to_string(path).map_err(|error| CommandError::File {
+        path: path.display().to_string().into(),
+        error,
+    })?;
+    Ok(Settings::try_from(text.as_str())?)
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,201 @@
+//! Check of an incoming request against the configuration in force.
+
+use {
+    crate::{
+        call::Request,
+        config::{ClassRule, Config, ServiceRule},
+        ingress::{Incoming, Origin},
+        local::CallId,
+        node::Node,
+        policy::{
+            retry::AccountKey,
+            ticket::Ticket,
+        },
+        request::{ClassName, Importance, Rank, Reason, Refusal, RequestId, ServiceName},
+    },
+    rand::RngExt,
+    smol_str::SmolStr,
+    std::{net::IpAddr, sync::Arc},
+};
+
+/// Most hops from the caller; a longer way is a loop.
+const MAX_DEPTH: u8 = 64;
+
+/// Class of requests that name none.
+const DEFAULT_CLASS: &str = "default";
+
+/// Resends of one caller, as a share of its first requests.
+const RESEND_RATIO_PERCENT: u8 = 100;
+
+/// Advice to a caller that resends too much.
+const RESEND_RETRY_AFTER_MS: u32 = 1_000;
+
+/// A request that may be sent to a worker.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Client request that it belongs to.
+    pub request_id: RequestId,
+    /// Service that it is for.
+    pub service: ServiceName,
+    /// What is configured for the service.
+    pub service_rule: ServiceRule,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Importance of the class.
+    pub importance: Importance,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Deadline on the monotonic clock.
+    pub deadline_us: u64,
+    /// Hops from the caller.
+    pub depth: u8,
+    /// Account that its retries come out of.
+    pub account: AccountKey,
+    /// Call that it is nested in.
+    pub parent: Option<CallId>,
+    /// Whether the caller says that it sends the request for the first time.
+    pub first_attempt: bool,
+    /// Ticket that the caller shows.
+    pub ticket: Option<Ticket>,
+    /// Caller's own key.
+    pub key: Option<SmolStr>,
+    /// What the backend server is to run.
+    pub request: Arc<Request>,
+}
+
+impl Outgoing {
+    /// Order in which the request is shed.
+    pub fn rank(&self) -> Rank {
+        Rank::new(self.importance, self.request_id)
+    }
+
+    /// Tells whether the request runs under a ticket.
+    pub fn needs_ticket(&self) -> bool {
+        !self.idempotent && self.parent.is_none()
+    }
+}
+
+impl Node {
+    /// Checks a request and opens its account.
+    pub fn enter(&self, incoming: Incoming, now_us: u64) -> Result<Outgoing, Refusal> {
+        let config = self.config();
+        let service_rule = self.service_rule(&config, &incoming.service)?;
+        match incoming.origin.clone() {
+            Origin::Nested(call_id) => self.enter_nested(incoming, &call_id, service_rule),
+            Origin::Caller(ip) => self.enter_first(incoming, ip, service_rule, &config, now_us),
+        }
+    }
+
+    /// What is configured for a service, or what holds for one that has only announced itself.
+    fn service_rule(&self, config: &Config, service: &str) -> Result<ServiceRule, Refusal> {
+        let listed = config.services.get(service).cloned();
+        let unlisted = || {
+            let is_served = config.rules.unlisted_services && self.directory.knows(service);
+            is_served.then(ServiceRule::default)
+        };
+        listed.or_else(unlisted).ok_or(Refusal::not_run(Reason::UnknownService))
+    }
+
+    fn enter_nested(
+        &self,
+        incoming: Incoming,
+        call_id: &str,
+        service_rule: ServiceRule,
+    ) -> Result<Outgoing, Refusal> {
+        let call_id =
+            CallId::try_from(call_id).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+        let local = self.local.lock();
+        let parent = local.running.get(&call_id).ok_or(Refusal::not_run(Reason::Cancelled))?;
+        let depth = parent.depth.saturating_add(1);
+        if depth > MAX_DEPTH {
+            return Err(Refusal::not_run(Reason::BadRequest));
+        }
+        Ok(Outgoing {
+            request_id: parent.request_id,
+            service: incoming.service,
+            service_rule,
+            class: parent.class.clone(),
+            importance: parent.importance,
+            idempotent: parent.idempotent || is_safe(&incoming.request.method),
+            deadline_us: parent.deadline_us,
+            depth,
+            account: parent.account,
+            parent: Some(call_id),
+            first_attempt: true,
+            ticket: None,
+            key: None,
+            request: Arc::new(incoming.request),
+        })
+    }
+
+    fn enter_first(
+        &self,
+        incoming: Incoming,
+        caller: IpAddr,
+        service_rule: ServiceRule,
+        config: &Config,
+        now_us: u64,
+    ) -> Result<Outgoing, Refusal> {
+        let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
+        let rule = class_rule(config, &class)?;
+        let timeout_ms = incoming.timeout_ms.unwrap_or(u64::from(rule.deadline_ms));
+        if timeout_ms == 0 {
+            return Err(Refusal::not_run(Reason::Deadline));
+        }
+        let timeout_ms = timeout_ms.min(self.settings.limits.max_deadline_ms);
+        self.count_send(caller, incoming.attempt, now_us)?;
+        let ticket = incoming
+            .ticket
+            .as_deref()
+            .map(Ticket::try_from)
+            .transpose()
+            .map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+        if ticket.as_ref().is_some_and(|ticket| ticket.service != incoming.service) {
+            return Err(Refusal::not_run(Reason::BadRequest));
+        }
+        let request_id = incoming.request_id.unwrap_or_else(|| RequestId(self.rng.lock().random()));
+        let account = self.local.lock().accounts.open(rule.retry_allowance);
+        Ok(Outgoing {
+            request_id,
+            service: incoming.service,
+            service_rule,
+            class,
+            importance: rule.importance,
+            idempotent: rule.idempotent,
+            deadline_us: now_us + timeout_ms * 1_000,
+            depth: 0,
+            account,
+            parent: None,
+            first_attempt: incoming.attempt == 1,
+            ticket,
+            key: incoming.key,
+            request: Arc::new(incoming.request),
+        })
+    }
+
+    /// Counts a caller's send and holds back one that resends too much.
+    fn count_send(&self, caller: IpAddr, attempt: u32, now_us: u64) -> Result<(), Refusal> {
+        if self.is_baseline() {
+            return Ok(());
+        }
+        let mut callers = self.callers.lock();
+        if attempt <= 1 {
+            callers.first(caller, now_us);
+            return Ok(());
+        }
+        if callers.resend(caller, RESEND_RATIO_PERCENT, now_us) {
+            return Ok(());
+        }
+        let outcome = Refusal::unknown(Reason::RetriesSpent);
+        Err(outcome.retry_after_ms(RESEND_RETRY_AFTER_MS))
+    }
+}
+
+fn class_rule<'a>(config: &'a Config, class: &str) -> Result<&'a ClassRule, Refusal> {
+    config.classes.get(class).ok_or(Refusal::not_run(Reason::BadRequest))
+}
+
+/// Safe methods are idempotent whatever the class.
+fn is_safe(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "OPTIONS")
+}
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,318 @@
+//! Sending a request to workers until one answers or there is no use in going on.
+
+use {
+    crate::{
+        call::{Answer, Call, PeerError, Reply, Serve},
+        directory::{Ended, Target, Wanted},
+        entry::Outgoing,
+        node::Node,
+        policy::{
+            paths::PathLevels,
+            retry::{Attempt, Loan, Retry},
+            verdict::{Denial, Heard, Sent, verdict},
+        },
+        request::{Incarnation, Level, Outcome, Reason, Refusal},
+    },
+    async_io::Timer,
+    futures::future::{Either, select},
+    parking_lot::Mutex,
+    std::{pin::pin, sync::Arc, time::Duration},
+};
+
+/// Sends of one call beyond which the baseline gives up.
+const BASELINE_SENDS: usize = 3;
+
+/// What has come of a request so far.
+#[derive(Debug, Default)]
+struct Trail {
+    tried: Vec<Incarnation>,
+    moves: u8,
+    may_have_run: bool,
+    was_broken: bool,
+}
+
+impl Node {
+    /// Sends a checked request and answers with the whole answer or why there is none.
+    pub async fn forward(self: &Arc<Self>, out: &Outgoing) -> Result<Arc<Answer>, Refusal> {
+        let mut trail = Trail::default();
+        loop {
+            let refusal = match self.attempt(out, &mut trail).await {
+                Ok(answer) => return Ok(answer),
+                Err(refusal) => refusal,
+            };
+            if !self.may_go_on(out, &mut trail, refusal) {
+                return Err(trail.conclude(refusal));
+            }
+        }
+    }
+
+    /// Sends the request to one worker.
+    async fn attempt(
+        self: &Arc<Self>,
+        out: &Outgoing,
+        trail: &mut Trail,
+    ) -> Result<Arc<Answer>, Refusal> {
+        let now_us = self.clock.now_us();
+        let remaining_us = out.deadline_us.saturating_sub(now_us);
+        if remaining_us == 0 {
+            return Err(Refusal::not_run(Reason::Deadline));
+        }
+        self.check_path(out, now_us)?;
+        let target = self.target(out, trail, remaining_us, now_us)?;
+        let loan = self.local.lock().accounts.lend(out.account);
+        let loan = loan.ok_or(Refusal::not_run(Reason::Cancelled))?;
+        let call = self.call(out, trail, target, remaining_us, &loan);
+        if trail.tried.is_empty() {
+            self.ratio(out, |ratio| ratio.first(now_us));
+        }
+        trail.tried.push(target.incarnation);
+        let picked = Picked { node: self, target, is_open: true };
+        let sent = self.send(target, call, out).await;
+        self.settle(out, trail, picked, loan, sent)
+    }
+
+    /// Refuses at once what a service further on would refuse.
+    fn check_path(&self, out: &Outgoing, now_us: u64) -> Result<(), Refusal> {
+        if self.is_baseline() {
+            return Ok(());
+        }
+        let admitted = self.paths(out).lock().admit(&out.service, out.rank(), now_us);
+        if admitted.is_err() {
+            self.metrics.count("edge.refused");
+            let level = self.paths(out).lock().level(&out.service, out.importance, now_us);
+            self.note_path_level(out, level);
+        }
+        admitted
+    }
+
+    fn target(
+        &self,
+        out: &Outgoing,
+        trail: &Trail,
+        remaining_us: u64,
+        now_us: u64,
+    ) -> Result<Target, Refusal> {
+        if let Some(ticket) = &out.ticket {
+            let target = Target { call_addr: ticket.call_addr, incarnation: ticket.incarnation };
+            self.directory.started(target);
+            return Ok(target);
+        }
+        let wanted = Wanted {
+            service: &out.service,
+            rank: out.rank(),
+            remaining: Duration::from_micros(remaining_us),
+            tried: &trail.tried,
+        };
+        self.directory.pick(&wanted, now_us).ok_or(Refusal::not_run(Reason::NoWorker))
+    }
+
+    fn call(
+        &self,
+        out: &Outgoing,
+        trail: &Trail,
+        target: Target,
+        remaining_us: u64,
+        loan: &Loan,
+    ) -> Call {
+        Call {
+            request_id: out.request_id,
+            service: out.service.clone(),
+            class: out.class.clone(),
+            importance: out.importance,
+            idempotent: out.idempotent,
+            incarnation: target.incarnation,
+            remaining_us,
+            retry_tokens: loan.tokens(),
+            depth: out.depth,
+            ticket: out.ticket.as_ref().map(|ticket| ticket.to_string().into()),
+            first_attempt: out.first_attempt,
+            exclusive: trail.was_broken && !self.is_baseline(),
+            request: Arc::clone(&out.request),
+        }
+    }
+
+    async fn send(
+        self: &Arc<Self>,
+        target: Target,
+        call: Call,
+        out: &Outgoing,
+    ) -> Result<Reply, PeerError> {
+        let limit_us = call.remaining_us.min(u64::from(out.service_rule.timeout_ms) * 1_000);
+        let is_local = target.call_addr == self.settings.place.call_addr;
+        let work = async {
+            if is_local {
+                return Ok(self.serve(call).await);
+            }
+            self.peers.call(target.call_addr, call).await
+        };
+        let timer = Timer::after(Duration::from_micros(limit_us));
+        match select(pin!(work), timer).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(PeerError {
+                step: "wait for reply",
+                peer: target.call_addr,
+                detail: "timeout".into(),
+                may_have_run: true,
+            }),
+        }
+    }
+
+    fn settle(
+        &self,
+        out: &Outgoing,
+        trail: &mut Trail,
+        picked: Picked<'_>,
+        loan: Loan,
+        sent: Result<Reply, PeerError>,
+    ) -> Result<Arc<Answer>, Refusal> {
+        let now_us = self.clock.now_us();
+        let reply = match sent {
+            Ok(reply) => reply,
+            Err(error) => return Err(self.unanswered(out, trail, picked, loan, &error)),
+        };
+        self.local.lock().accounts.settle(out.account, loan, reply.retry_tokens);
+        let target = picked.target;
+        self.paths(out).lock().learn(
+            &out.service,
+            out.importance,
+            target.incarnation,
+            reply.path_level,
+            now_us,
+        );
+        self.note_path_level(out, reply.path_level);
+        let ended = if reply.result.is_ok() { Ended::Answered } else { Ended::Refused };
+        picked.end(ended, Some(reply.path_level));
+        let refusal = match reply.result {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        trail.may_have_run |= refusal.outcome == Outcome::Unknown;
+        trail.was_broken |= refusal.reason == Reason::Broken;
+        if !out.needs_ticket() {
+            return Err(refusal);
+        }
+        let denial = match (refusal.outcome, reply.is_final) {
+            (Outcome::NotRun, true) => Denial::Never(refusal.reason),
+            (Outcome::NotRun, false) => Denial::NotNow(refusal.reason),
+            _ => Denial::Maybe(refusal.reason),
+        };
+        Err(judge(out, Heard::Denial(denial), refusal.retry_after_ms))
+    }
+
+    fn unanswered(
+        &self,
+        out: &Outgoing,
+        trail: &mut Trail,
+        picked: Picked<'_>,
+        loan: Loan,
+        error: &PeerError,
+    ) -> Refusal {
+        tracing::debug!(%error, "no reply");
+        self.metrics.count("call.unanswered");
+        trail.may_have_run |= error.may_have_run;
+        trail.was_broken |= error.may_have_run;
+        if !error.may_have_run {
+            self.local.lock().accounts.revoke(out.account, loan);
+        }
+        picked.end(Ended::Unreachable, None);
+        let reason = if error.may_have_run { Reason::Broken } else { Reason::Unreachable };
+        if out.needs_ticket() {
+            trail.may_have_run |= !out.first_attempt;
+            return judge(out, Heard::Nothing(reason), None);
+        }
+        let outcome = if error.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        Refusal { outcome, reason, retry_after_ms: None }
+    }
+
+    /// Decides whether to send the request once more, and pays for it.
+    fn may_go_on(&self, out: &Outgoing, trail: &mut Trail, refusal: Refusal) -> bool {
+        if out.ticket.is_some() || trail.tried.is_empty() {
+            return false;
+        }
+        if self.is_baseline() {
+            return out.idempotent && trail.tried.len() < BASELINE_SENDS;
+        }
+        let now_us = self.clock.now_us();
+        let attempt = Attempt {
+            idempotent: out.idempotent,
+            moves: trail.moves,
+            remaining_us: out.deadline_us.saturating_sub(now_us),
+            expected_us: 0,
+        };
+        match attempt.after(refusal) {
+            Retry::PassUp => false,
+            Retry::Move => {
+                trail.moves += 1;
+                self.metrics.count("call.moved");
+                true
+            }
+            Retry::Paid => self.pay(out, now_us),
+        }
+    }
+
+    fn pay(&self, out: &Outgoing, now_us: u64) -> bool {
+        let ratio_percent = out.service_rule.retry_ratio_percent;
+        if !self.ratio(out, |ratio| ratio.retry(ratio_percent, now_us)) {
+            self.metrics.count("retry.over_ratio");
+            return false;
+        }
+        let is_paid = self.local.lock().accounts.spend(out.account);
+        self.metrics.count(if is_paid { "retry.sent" } else { "retry.no_token" });
+        is_paid
+    }
+
+    fn paths(&self, out: &Outgoing) -> &Mutex<PathLevels> {
+        if out.parent.is_some() { &self.nested_paths } else { &self.edge_paths }
+    }
+
+    /// Carries a level met by a nested call to the call that it is nested in.
+    fn note_path_level(&self, out: &Outgoing, level: Level) {
+        let Some(parent) = out.parent else {
+            return;
+        };
+        if let Some(running) = self.local.lock().running.get_mut(&parent) {
+            running.path_level = running.path_level.min(level);
+        }
+    }
+}
+
+impl Trail {
+    /// What the sender is told, in view of all sends.
+    fn conclude(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            return Refusal { outcome: Outcome::Unknown, ..refusal };
+        }
+        refusal
+    }
+}
+
+fn judge(out: &Outgoing, heard: Heard, retry_after_ms: Option<u32>) -> Refusal {
+    match verdict(out.first_attempt, Sent::Nothing, heard) {
+        Ok(()) => Refusal::unknown(Reason::Internal),
+        Err(refusal) => Refusal { retry_after_ms, ..refusal },
+    }
+}
+
+/// A worker that a call is under way to; a call that is given up counts as cancelled.
+struct Picked<'a> {
+    node: &'a Node,
+    target: Target,
+    is_open: bool,
+}
+
+impl Picked<'_> {
+    fn end(mut self, ended: Ended, level: Option<Level>) {
+        self.is_open = false;
+        let now_us = self.node.clock.now_us();
+        self.node.directory.ended(self.target, ended, level, now_us);
+    }
+}
+
+impl Drop for Picked<'_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now_us = self.node.clock.now_us();
+            self.node.directory.ended(self.target, Ended::Cancelled, None, now_us);
+        }
+    }
+}
--- /dev/null
+++ b/src/local.rs
@@ -0,0 +1,191 @@
+//! The local worker: what stands between a call and the backend server on the same VM.
+
+use {
+    crate::{
+        call::{Answer, Reply},
+        collections::HashMap,
+        policy::{
+            drain::{Drain, DrainAction},
+            gate::{Action, Gate, WorkKey},
+            once::{Once, OnceKey},
+            retry::{AccountKey, Accounts},
+            shed::GateRules,
+            suspect::{Fingerprint, Suspects},
+        },
+        request::{ClassName, Importance, Incarnation, Level, Refusal, RequestId},
+        worker::Worker,
+    },
+    derive_more::Display,
+    futures::channel::oneshot,
+    smol_str::SmolStr,
+};
+
+/// Identity of one running call; the backend server shows it with nested calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Display)]
+#[display("{_0:016x}")]
+pub struct CallId(pub u64);
+
+impl TryFrom<&str> for CallId {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// One call that the backend server is running.
+#[derive(Debug)]
+pub struct Running {
+    /// Client request that it belongs to.
+    pub request_id: RequestId,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Importance of the class.
+    pub importance: Importance,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Deadline on the monotonic clock.
+    pub deadline_us: u64,
+    /// Hops from the caller.
+    pub depth: u8,
+    /// Retries left to it and its nested calls.
+    pub account: AccountKey,
+    /// Lowest admission level that its nested calls met.
+    pub path_level: Level,
+    /// Hash of what it runs.
+    pub fingerprint: Fingerprint,
+    /// Worker that runs it.
+    pub incarnation: Incarnation,
+    /// Ends the call when dropped.
+    pub cut: oneshot::Sender<()>,
+}
+
+/// State of the local worker.
+pub struct Local {
+    /// Backend server, once it has announced itself.
+    pub worker: Option<Worker>,
+    /// Limit, queue and level.
+    pub gate: Gate,
+    /// Record of non-idempotent requests.
+    pub once: Once<Answer>,
+    /// Way out.
+    pub drain: Drain,
+    /// Requests that may crash backend servers.
+    pub suspects: Suspects,
+    /// Retry accounts of running calls and of callers' requests.
+    pub accounts: Accounts,
+    /// Calls that the backend server is running.
+    pub running: HashMap<CallId, Running>,
+    /// Sends that wait for the end of another send of the same request.
+    pub joined: HashMap<OnceKey, Vec<oneshot::Sender<Reply>>>,
+    /// What the drain asks to be done.
+    pub drain_actions: Vec<DrainAction>,
+    waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
+}
+
+/// How a worker was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// Its process has ended without notice.
+    Crash,
+    /// It has fallen silent, or was replaced when nothing ran.
+    Silence,
+}
+
+/// The present time on both clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    /// Monotonic time.
+    pub us: u64,
+    /// Wall clock.
+    pub unix_ms: u64,
+}
+
+/// Bounds on the memory of the local worker.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LocalRules {
+    /// Of the gate.
+    pub gate: GateRules,
+    /// Of the record of non-idempotent requests.
+    pub once: crate::policy::once::OnceLimits,
+    /// Of the record of suspects.
+    pub suspects: crate::policy::suspect::SuspectLimits,
+}
+
+impl Local {
+    /// Creates the state of a VM whose backend server has not announced itself.
+    pub fn new(rules: LocalRules, seed: u64) -> Self {
+        Self {
+            worker: None,
+            gate: Gate::new(rules.gate, seed),
+            once: Once::new(rules.once),
+            drain: Drain::new(),
+            suspects: Suspects::new(rules.suspects),
+            accounts: Accounts::default(),
+            running: HashMap::default(),
+            joined: HashMap::default(),
+            drain_actions: Vec::new(),
+            waiting: HashMap::default(),
+        }
+    }
+
+    /// Waits for the gate's decision on queued work.
+    pub fn wait(&mut self, key: WorkKey) -> oneshot::Receiver<Result<(), Refusal>> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(key, sender);
+        receiver
+    }
+
+    /// Forgets that work waits.
+    pub fn unwait(&mut self, key: WorkKey) {
+        self.waiting.remove(&key);
+    }
+
+    /// Tells queued work what the gate decided.
+    pub fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (key, verdict) = match action {
+                Action::Start(key) => (key, Ok(())),
+                Action::Refuse(key, refusal) => (key, Err(refusal)),
+            };
+            if let Some(waiting) = self.waiting.remove(&key) {
+                // A receiver that has gone away gives its slot back by itself.
+                let _ = waiting.send(verdict);
+            }
+        }
+    }
+
+    /// Takes the loss of the worker; after a crash, everything in flight is blamed.
+    pub fn lose_worker(&mut self, incarnation: Incarnation, loss: Loss, now: Now) -> bool {
+        let is_present = self.incarnation() == Some(incarnation);
+        let Some(worker) = self.worker.take_if(|_| is_present) else {
+            return false;
+        };
+        if loss == Loss::Crash {
+            let service = worker.announcement.service;
+            let in_flight = self.running.values().map(|call| (call.fingerprint, service.clone()));
+            self.suspects.blame(incarnation, in_flight, now.unix_ms);
+        }
+        let mut actions = Vec::new();
+        self.gate.reset(now.us, &mut actions);
+        self.apply(actions);
+        true
+    }
+
+    /// Identity of the present life of the worker.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.worker.as_ref().map(|worker| worker.incarnation)
+    }
+
+    /// Cuts all calls that are running.
+    pub fn cut_all(&mut self) -> usize {
+        let cut = std::mem::take(&mut self.running);
+        cut.len()
+    }
+
+    /// Name of the service that the worker offers.
+    pub fn service(&self) -> Option<SmolStr> {
+        self.worker.as_ref().map(|worker| worker.announcement.service.clone())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `shallotdeal` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    shallotdeal::cmd::main()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters, sent as `StatsD` datagrams and kept for the dump.
+//!
+//! A metrics sink that is away or slow never delays a request: datagrams are queued without
+//! waiting and dropped when the queue is full.
+
+use {
+    crate::{collections::HashMap, settings::MetricsSettings},
+    cadence::{
+        Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+    },
+    parking_lot::Mutex,
+    std::{collections::BTreeMap, io, net::UdpSocket},
+};
+
+/// Datagrams that may wait for the sink.
+const QUEUE_DATAGRAMS: usize = 4_096;
+
+/// Prefix where none is set.
+const DEFAULT_PREFIX: &str = "shallotdeal";
+
+/// Counters of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    counts: Mutex<HashMap<&'static str, u64>>,
+}
+
+impl Metrics {
+    /// Counters that are only kept for the dump.
+    pub fn local() -> Self {
+        let client = StatsdClient::from_sink(DEFAULT_PREFIX, NopMetricSink);
+        Self {
+            client,
+            counts: Mutex::default(),
+        }
+    }
+
+    /// Counters that are also sent to a sink.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no local UDP socket can be opened.
+    pub fn statsd(settings: &MetricsSettings) -> io::Result<Self> {
+        let any = if settings.statsd_addr.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
+        let socket = UdpSocket::bind(any)?;
+        socket.set_nonblocking(true)?;
+        let udp = UdpMetricSink::from(settings.statsd_addr, socket)
+            .map_err(|error| io::Error::other(error.to_string()))?;
+        let sink = QueuingMetricSink::with_capacity(udp, QUEUE_DATAGRAMS);
+        let client = StatsdClient::from_sink(&settings.prefix, sink);
+        Ok(Self {
+            client,
+            counts: Mutex::default(),
+        })
+    }
+
+    /// Counts one event.
+    pub fn count(&self, name: &'static str) {
+        self.add(name, 1);
+    }
+
+    /// Counts several events.
+    pub fn add(&self, name: &'static str, events: u64) {
+        *self.counts.lock().entry(name).or_default() += events;
+        // A sink that refuses a datagram must not disturb the request that is counted.
+        let _ = self.client.count(name, events);
+    }
+
+    /// Reports the present value of a quantity.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Reports how long something took.
+    pub fn time_us(&self, name: &'static str, took_us: u64) {
+        let _ = self.client.time(name, took_us / 1_000);
+    }
+
+    /// All counters, by name.
+    pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
+        self.counts
+            .lock()
+            .iter()
+            .map(|(name, count)| (*name, *count))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/rpc/client.rs
@@ -0,0 +1,178 @@
+//! Sending side: one connection to each daemon, shared by all calls to it.
+
+use {
+    super::network,
+    crate::{
+        call::{Call, PeerError, Peers, Reply},
+        call_capnp::peer,
+        collections::HashMap,
+        net,
+    },
+    async_channel::{Receiver, Sender},
+    async_std::task,
+    async_trait::async_trait,
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
+    futures::{
+        channel::oneshot,
+        future::{Either, FutureExt, LocalBoxFuture, Shared, select},
+    },
+    smol_str::{SmolStr, ToSmolStr},
+    std::{
+        cell::RefCell,
+        net::{IpAddr, SocketAddr},
+        pin::pin,
+        rc::Rc,
+    },
+};
+
+/// Calls that may wait for the client's thread.
+const QUEUE_CALLS: usize = 4_096;
+
+/// One call on its way to the client's thread.
+struct Job {
+    peer: SocketAddr,
+    call: Call,
+    reply: oneshot::Sender<Result<Reply, PeerError>>,
+}
+
+/// Handle with which any thread sends calls.
+#[derive(Clone)]
+pub struct Client {
+    jobs: Sender<Job>,
+}
+
+/// Work of the client; runs until all handles are dropped.
+pub struct ClientTask {
+    jobs: Receiver<Job>,
+    local_ip: IpAddr,
+}
+
+/// Creates a client whose connections come from `local_ip`.
+pub fn client(local_ip: IpAddr) -> (Client, ClientTask) {
+    let (sender, receiver) = async_channel::bounded(QUEUE_CALLS);
+    (
+        Client { jobs: sender },
+        ClientTask {
+            jobs: receiver,
+            local_ip,
+        },
+    )
+}
+
+#[async_trait]
+impl Peers for Client {
+    async fn call(&self, peer: SocketAddr, call: Call) -> Result<Reply, PeerError> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.jobs.send(Job { peer, call, reply }).await;
+        if sent.is_err() {
+            return Err(error(
+                "queue call",
+                peer,
+                "the client has ended".into(),
+                false,
+            ));
+        }
+        answer
+            .await
+            .unwrap_or_else(|_| Err(error("wait for reply", peer, "dropped".into(), true)))
+    }
+}
+
+type Connecting = Shared<LocalBoxFuture<'static, Result<peer::Client, PeerError>>>;
+
+type Connections = Rc<RefCell<HashMap<SocketAddr, Connecting>>>;
+
+impl ClientTask {
+    /// Sends calls as they come; must run on a thread of its own or one with local tasks.
+    pub async fn run(self) {
+        let connections = Connections::default();
+        while let Ok(job) = self.jobs.recv().await {
+            let connections = Rc::clone(&connections);
+            task::spawn_local(job.run(connections, self.local_ip));
+        }
+    }
+}
+
+impl Job {
+    async fn run(self, connections: Connections, local_ip: IpAddr) {
+        let Self {
+            peer,
+            call,
+            mut reply,
+        } = self;
+        let work = pin!(exchange(peer, call, connections, local_ip));
+        let result = match select(work, reply.cancellation()).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => return,
+        };
+        // A receiver that has gone away has given the call up.
+        let _ = reply.send(result);
+    }
+}
+
+async fn exchange(
+    peer: SocketAddr,
+    call: Call,
+    connections: Connections,
+    local_ip: IpAddr,
+) -> Result<Reply, PeerError> {
+    let client = connection(peer, connections, local_ip).await?;
+    let mut request = client.call_request();
+    call.write(request.get().init_call());
+    let read_fault = |fault: capnp::Error| error("read reply", peer, fault.to_smolstr(), true);
+    let response = request
+        .send()
+        .promise
+        .await
+        .map_err(|fault| error("wait for reply", peer, fault.to_smolstr(), true))?;
+    let results = response.get().map_err(read_fault)?;
+    let reply = results.get_reply().map_err(read_fault)?;
+    Reply::read(reply).map_err(read_fault)
+}
+
+async fn connection(
+    peer: SocketAddr,
+    connections: Connections,
+    local_ip: IpAddr,
+) -> Result<peer::Client, PeerError> {
+    let known = connections.borrow().get(&peer).cloned();
+    let connecting = known.unwrap_or_else(|| {
+        let connecting = open(peer, Rc::clone(&connections), local_ip)
+            .boxed_local()
+            .shared();
+        connections.borrow_mut().insert(peer, connecting.clone());
+        connecting
+    });
+    let connected = connecting.await;
+    if connected.is_err() {
+        connections.borrow_mut().remove(&peer);
+    }
+    connected
+}
+
+async fn open(
+    peer: SocketAddr,
+    connections: Connections,
+    local_ip: IpAddr,
+) -> Result<peer::Client, PeerError> {
+    let stream = net::connect(local_ip, peer)
+        .await
+        .map_err(|fault| error("connect", peer, fault.to_smolstr(), false))?;
+    let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+    let client: peer::Client = system.bootstrap(Side::Server);
+    task::spawn_local(async move {
+        let ended = system.await;
+        connections.borrow_mut().remove(&peer);
+        tracing::debug!(%peer, ?ended, "connection to daemon ended");
+    });
+    Ok(client)
+}
+
+fn error(step: &'static str, peer: SocketAddr, detail: SmolStr, may_have_run: bool) -> PeerError {
+    PeerError {
+        step,
+        peer,
+        detail,
+        may_have_run,
+    }
+}
--- /dev/null
+++ b/src/rpc/server.rs
@@ -0,0 +1,48 @@
+//! Receiving side: accepts other daemons' connections and serves their calls.
+
+use {
+    super::network,
+    crate::{
+        call::{Call, Serve},
+        call_capnp::peer,
+    },
+    async_std::{
+        net::{TcpListener, TcpStream},
+        task,
+    },
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
+    std::{io, rc::Rc, sync::Arc},
+};
+
+struct Peer {
+    serve: Arc<dyn Serve>,
+}
+
+impl peer::Server for Peer {
+    async fn call(
+        self: Rc<Self>,
+        params: peer::CallParams,
+        mut results: peer::CallResults,
+    ) -> Result<(), capnp::Error> {
+        let call = Call::read(params.get()?.get_call()?)?;
+        let reply = self.serve.serve(call).await;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+}
+
+/// Serves calls that arrive at `listener`; must run on a thread with local tasks.
+pub async fn listen(listener: TcpListener, serve: Arc<dyn Serve>) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        task::spawn_local(connection(stream, Arc::clone(&serve)));
+    }
+}
+
+async fn connection(stream: TcpStream, serve: Arc<dyn Serve>) {
+    let client: peer::Client = capnp_rpc::new_client(Peer { serve });
+    let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
+    let ended = system.await;
+    tracing::debug!(?ended, "connection from daemon ended");
+}
