--- /dev/null
+++ b/src/policy/shed.rs
@@ -0,0 +1,280 @@
+//! Admission level of one gate, from queueing delay and the ranks of arrivals.
+//!
+//! In each short window it finds the rank up to which arrivals fit the measured capacity. Arrivals
+//! that edges refuse are not seen here: for ranks above the level the last estimate is kept, and
+//! shrinks while slots idle, so that the level opens geometrically.
+
+use crate::{
+    config::Rules,
+    request::{BUCKETS_PER_IMPORTANCE, Importance, Level, Rank},
+};
+
+/// Length of one window.
+pub const WINDOW_US: u64 = 25_000;
+
+/// Ranks counted together.
+const RANKS_PER_CELL: usize = 8;
+
+/// Cells of one importance.
+const CELLS_PER_IMPORTANCE: usize = BUCKETS_PER_IMPORTANCE as usize / RANKS_PER_CELL;
+
+/// Buckets of the most important class that are always admitted.
+const PROBE_BUCKETS: u32 = 16;
+
+/// Largest weight of a window in the estimate.
+const WEIGHT_MAX: f64 = 0.25;
+
+/// Smallest weight of a window in the estimate.
+const WEIGHT_MIN: f64 = 0.02;
+
+/// Arrivals that the estimate averages over.
+const WEIGHT_ARRIVALS: f64 = 40.0;
+
+/// Part of its estimate above which what is above the level counts as seen.
+const SEEN_SHARE: f64 = 0.5;
+
+/// Estimate of one importance below which it counts as absent.
+const ABSENT: f64 = 0.001;
+
+/// Shortest time in which an excess queue is drained.
+const DRAIN_MIN_US: f64 = 200_000.0;
+
+/// Smallest part of capacity that is admitted while a queue drains.
+const DRAIN_SHARE_MIN: f64 = 0.4;
+
+/// Largest part of capacity that is admitted to fill a queue.
+const FILL_SHARE_MAX: f64 = 1.25;
+
+/// Bounds of the target queueing delay.
+const TARGET_MIN_US: f64 = 5_000.0;
+const TARGET_MAX_US: f64 = 100_000.0;
+
+/// Shortest and longest advice on when to come back.
+const RETRY_AFTER_MIN_MS: f64 = 100.0;
+const RETRY_AFTER_MAX_MS: f64 = 5_000.0;
+
+/// Time that callers are spread over for each capacity's worth of refused arrivals.
+const RETRY_AFTER_SPREAD_MS: f64 = 500.0;
+
+/// Choices that trade goodput against recovery time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GateRules {
+    /// Target queueing delay, in mean latencies.
+    pub target_latencies: f64,
+    /// Longest queue, in mean latencies.
+    pub queue_latencies: f64,
+    /// Part by which the estimate of unseen arrivals shrinks in a window with idle slots.
+    pub idle_opening: f64,
+    /// Part by which it shrinks in a window with a short queue.
+    pub busy_opening: f64,
+}
+
+impl GateRules {
+    /// Choices for a weight of recovery time between 0 and 100.
+    pub fn new(recovery_weight_percent: u8) -> Self {
+        let weight = f64::from(recovery_weight_percent.min(100)) / 100.0;
+        let between = |goodput: f64, recovery: f64| goodput + (recovery - goodput) * weight;
+        Self {
+            target_latencies: between(1.0, 0.25),
+            queue_latencies: between(6.0, 2.0),
+            idle_opening: between(0.05, 0.2),
+            busy_opening: between(0.01, 0.03),
+        }
+    }
+}
+
+impl From<&Rules> for GateRules {
+    fn from(rules: &Rules) -> Self {
+        Self::new(rules.recovery_weight_percent)
+    }
+}
+
+/// State of the gate at the end of a window.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Work that waits.
+    pub queued: usize,
+    /// Work in flight.
+    pub in_flight: usize,
+    /// Concurrency limit.
+    pub limit: u32,
+    /// Mean latency, or what the work in flight already shows of it.
+    pub latency_us: u64,
+}
+
+impl Load {
+    /// Time in which the queue would drain.
+    pub fn delay_us(&self) -> u64 {
+        self.queued as u64 * self.latency_us / u64::from(self.limit.max(1))
+    }
+
+    fn idle(&self) -> bool {
+        self.queued == 0 && self.in_flight < self.limit as usize
+    }
+
+    fn capacity(&self) -> f64 {
+        f64::from(self.limit) * WINDOW_US as f64 / self.latency_us.max(1) as f64
+    }
+}
+
+/// Sets the admission level.
+#[derive(Debug)]
+pub struct LevelControl {
+    rules: GateRules,
+    level: Level,
+    arrived: Vec<u32>,
+    estimate: Vec<f64>,
+    window_us: u64,
+    demand: f64,
+}
+
+impl LevelControl {
+    /// Control that admits everything.
+    pub fn new(rules: GateRules) -> Self {
+        Self {
+            rules,
+            level: Level::OPEN,
+            arrived: Vec::new(),
+            estimate: Vec::new(),
+            window_us: 0,
+            demand: 0.0,
+        }
+    }
+
+    /// Changes the trade between goodput and recovery time.
+    pub fn set_rules(&mut self, rules: GateRules) {
+        self.rules = rules;
+    }
+
+    /// Present level.
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// Counts an arrival, whether it is admitted or not.
+    pub fn arrived(&mut self, rank: Rank) {
+        let cell = usize::from(rank.position()) / RANKS_PER_CELL;
+        if cell >= self.arrived.len() {
+            let importances = usize::from(rank.importance().0) + 1;
+            self.arrived.resize(importances * CELLS_PER_IMPORTANCE, 0);
+            self.estimate
+                .resize(importances * CELLS_PER_IMPORTANCE, 0.0);
+        }
+        self.arrived[cell] += 1;
+    }
+
+    /// Lowers the level to a rank that a full queue gave up, so that nothing less important is
+    /// admitted in the same window.
+    pub fn evicted(&mut self, rank: Rank) {
+        let level = u32::from(rank.position()).max(self.floor());
+        self.level = self.level.min(Level(level));
+    }
+
+    /// Target queueing delay.
+    pub fn target_us(&self, latency_us: u64) -> f64 {
+        let target_us = latency_us as f64 * self.rules.target_latencies;
+        target_us.clamp(TARGET_MIN_US, TARGET_MAX_US)
+    }
+
+    /// Closes the window if it is over and sets the level; tells whether it did.
+    pub fn roll(&mut self, load: Load, now_us: u64) -> bool {
+        let windows = now_us.saturating_sub(self.window_us) / WINDOW_US;
+        if windows == 0 {
+            return false;
+        }
+        self.window_us += windows * WINDOW_US;
+        self.update(load, windows.min(1_000) as i32);
+        self.level = self.decide(load);
+        true
+    }
+
+    /// When a refused request of this rank should come back.
+    pub fn retry_after_ms(&self, load: Load, jitter: f64) -> u32 {
+        let excess = self.demand / load.capacity().max(f64::MIN_POSITIVE) - 1.0;
+        let drain_ms = load.delay_us() as f64 / 1_000.0;
+        let spread_ms = RETRY_AFTER_SPREAD_MS * excess.max(0.0) * jitter;
+        let advice_ms = RETRY_AFTER_MIN_MS + drain_ms + spread_ms;
+        advice_ms.min(RETRY_AFTER_MAX_MS) as u32
+    }
+
+    fn update(&mut self, load: Load, windows: i32) {
+        let one = (load.capacity() / WEIGHT_ARRIVALS).clamp(WEIGHT_MIN, WEIGHT_MAX);
+        let weight = 1.0 - (1.0 - one).powi(windows);
+        let border = self.border();
+        let unseen = self.unseen(border, windows);
+        let keep = (1.0 - self.opening(load)).powi(windows);
+        let cells = self.estimate.iter_mut().zip(&mut self.arrived);
+        for (cell, (estimate, arrived)) in cells.enumerate() {
+            let seen = f64::from(*arrived) / f64::from(windows);
+            *arrived = 0;
+            if cell >= border && unseen {
+                *estimate *= keep;
+            } else {
+                *estimate += (seen - *estimate) * weight;
+            }
+        }
+        self.demand = self.estimate.iter().sum();
+    }
+
+    /// First cell that is wholly refused.
+    fn border(&self) -> usize {
+        (self.level.0 as usize).div_ceil(RANKS_PER_CELL)
+    }
+
+    /// Tells whether arrivals above the level are refused before they come here.
+    fn unseen(&self, border: usize, windows: i32) -> bool {
+        let Some(estimate) = self.estimate.get(border..) else {
+            return false;
+        };
+        let estimated: f64 = estimate.iter().sum();
+        let arrived: u32 = self.arrived[border..].iter().sum();
+        f64::from(arrived) < SEEN_SHARE * estimated * f64::from(windows)
+    }
+
+    fn opening(&self, load: Load) -> f64 {
+        if load.idle() {
+            self.rules.idle_opening
+        } else if (load.delay_us() as f64) < self.target_us(load.latency_us) {
+            self.rules.busy_opening
+        } else {
+            0.0
+        }
+    }
+
+    fn decide(&self, load: Load) -> Level {
+        let target_us = self.target_us(load.latency_us);
+        let excess_us = load.delay_us() as f64 - target_us;
+        if self.level == Level::OPEN && excess_us <= 0.0 {
+            return Level::OPEN;
+        }
+        let drain_us = DRAIN_MIN_US.max(2.0 * load.latency_us as f64);
+        let share = (1.0 - excess_us / drain_us).clamp(DRAIN_SHARE_MIN, FILL_SHARE_MAX);
+        let level = self.fitting(load.capacity() * share);
+        level.max(Level(self.floor()))
+    }
+
+    /// Highest level whose estimated arrivals fit the budget.
+    fn fitting(&self, budget: f64) -> Level {
+        let mut left = budget;
+        for (cell, &estimate) in self.estimate.iter().enumerate() {
+            if estimate > left {
+                let ranks = left.max(0.0) / estimate * RANKS_PER_CELL as f64;
+                return Level((cell * RANKS_PER_CELL) as u32 + ranks as u32);
+            }
+            left -= estimate;
+        }
+        Level::OPEN
+    }
+
+    /// Level below which it never goes: some of the most important class that comes here.
+    fn floor(&self) -> u32 {
+        let classes = self.estimate.chunks(CELLS_PER_IMPORTANCE);
+        let arrived = self.arrived.chunks(CELLS_PER_IMPORTANCE);
+        let mut both = classes.zip(arrived);
+        let top = both.position(|(estimate, arrived)| {
+            estimate.iter().sum::<f64>() > ABSENT || arrived.iter().any(|&count| count > 0)
+        });
+        let top = Importance(top.unwrap_or(0) as u8);
+        u32::from(Rank::from_parts(top, 0).position()) + PROBE_BUCKETS
+    }
+}
