Add decisions for at most once, suspects and drain

Cause: a non-idempotent request must run at most once through resends and crashes; a request that kills its workers must be stopped; a worker must leave without cutting what it runs.

Change: tickets bound to a worker's incarnation, the memory of them at the gate, bindings of callers' own keys in the store, suspects with mergeable marks, turns for suspects that run alone, and the drain state machine.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,1 +1,9 @@
 //! Decisions without I/O: input and the present time go in, verdicts come out.
+
+pub mod alone;
+pub mod bind;
+pub mod drain;
+pub mod once;
+pub mod suspect;
+pub mod ticket;
+pub mod verdict;
