Add the store adapters, the platform's stand-in and checked changes

Cause: daemons need the platform's key-value service in a standalone process, over HTTP and in tests, and the configuration needs changes that are applied whole or not at all. Change: an in-process store over a table without I/O, an HTTP adapter with a time limit on each step that tells a lost answer of a write from a call without effect, a stand-in with switches for outage, delay and lost answers, and bounded edits of the configuration document.

--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins and load for shallotdeal.
+
+pub mod platform;
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,17 @@
 //! What operators configure: one versioned document, in force at every daemon.
 
+mod builtin;
+mod check;
+mod codec;
+mod edit;
+
+pub use {
+    builtin::DEFAULT_CLASS,
+    check::{MAX_NAME_BYTES, MAX_TEXT_BYTES},
+    codec::{CONFIG_KEY, DecodeError, MAX_CONFIG_BYTES},
+    edit::{ClassEdit, Edit, EditCause, EditError, Proposal, RulesEdit, ServiceEdit},
+};
+
 use {
     crate::request::{ClassName, Importance, ServiceName},
     derive_more::Display,
@@ -73,6 +85,9 @@
     pub stop_limit_ms: u32,
     /// Weight of recovery time against goodput: 0 is all goodput, 100 all recovery time.
     pub recovery_weight_percent: u8,
+    /// Whether services that announce themselves are served without being configured.
+    #[serde(default)]
+    pub unlisted_services: bool,
 }
 
 /// One target that operators have ordered to leave.
@@ -125,6 +140,7 @@
         Self {
             stop_limit_ms: 30_000,
             recovery_weight_percent: 50,
+            unlisted_services: false,
         }
     }
 }
--- /dev/null
+++ b/src/config/builtin.rs
@@ -0,0 +1,109 @@
+//! Defaults of the configuration, and lookups that fall back to them.
+
+use {
+    crate::{
+        config::{Change, ClassRule, Config, DrainTarget, Rules, ServiceRule},
+        request::{ClassName, Importance},
+    },
+    smol_str::SmolStr,
+    std::collections::BTreeMap,
+};
+
+/// Class of a request that names none, or one that is not configured.
+pub const DEFAULT_CLASS: &str = "default";
+
+const DEFAULT_RULE: ClassRule = ClassRule {
+    importance: Importance(2),
+    retry_allowance: 2,
+    idempotent: false,
+    deadline_ms: 10_000,
+};
+
+impl Config {
+    /// Configuration before the first change: built-in classes, no services.
+    pub fn initial() -> Self {
+        Self {
+            classes: builtin_classes(),
+            ..Self::default()
+        }
+    }
+
+    /// Configuration of a daemon without a store: every announced service is served.
+    pub fn standalone() -> Self {
+        let mut config = Self::initial();
+        config.rules.unlisted_services = true;
+        config
+    }
+
+    /// Rule of a service; `None` if requests to it are refused as unknown.
+    pub fn service(&self, name: &str) -> Option<ServiceRule> {
+        let rule = self.services.get(name).cloned();
+        rule.or_else(|| self.rules.unlisted_services.then(ServiceRule::default))
+    }
+
+    /// Rule of a class; one that is not configured gets the rule of the class `default`.
+    pub fn class(&self, name: &str) -> ClassRule {
+        self.classes
+            .get(name)
+            .or_else(|| self.classes.get(DEFAULT_CLASS))
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Change that made this revision.
+    pub fn last_change(&self) -> Option<&Change> {
+        self.history.last()
+    }
+
+    /// Change of this identity, if the history still holds it.
+    pub fn change(&self, id: &str) -> Option<&Change> {
+        self.history.iter().rev().find(|change| change.id == id)
+    }
+
+    /// Whether a worker is ordered to leave, and if so whether it is to be stopped.
+    pub fn ordered(&self, worker: &str, vm: &str, data_centre: &str) -> Option<bool> {
+        let names = |target: &DrainTarget| match target {
+            DrainTarget::Worker(name) => name == worker,
+            DrainTarget::Vm(ip) => ip == vm,
+            DrainTarget::DataCentre(name) => name == data_centre,
+        };
+        self.orders
+            .iter()
+            .filter(|order| names(&order.target))
+            .map(|order| order.stop)
+            .max()
+    }
+}
+
+impl Default for ClassRule {
+    fn default() -> Self {
+        DEFAULT_RULE
+    }
+}
+
+impl Rules {
+    /// Weight of recovery time as a share between 0 and 1.
+    pub fn recovery_weight(&self) -> f64 {
+        f64::from(self.recovery_weight_percent) / 100.0
+    }
+}
+
+fn builtin_classes() -> BTreeMap<ClassName, ClassRule> {
+    let order = ClassRule {
+        importance: Importance(0),
+        retry_allowance: 3,
+        idempotent: false,
+        deadline_ms: 10_000,
+    };
+    let read = ClassRule {
+        importance: Importance(4),
+        retry_allowance: 2,
+        idempotent: true,
+        deadline_ms: 5_000,
+    };
+    BTreeMap::from([
+        (SmolStr::new_static("order"), order),
+        (SmolStr::new_static("read"), read),
+        (SmolStr::new_static(DEFAULT_CLASS), DEFAULT_RULE),
+    ])
+}
--- /dev/null
+++ b/src/store/http.rs
@@ -0,0 +1,270 @@
+//! Adapter to the platform's key-value service over HTTP/1.1.
+
+use {
+    crate::store::{
+        Entry, LeaseId, Store, StoreError, Swap, Version,
+        wire::{Answer, Call, Item, PATH},
+    },
+    async_std::{future::timeout, io::ReadExt, net::TcpStream},
+    async_trait::async_trait,
+    futures::FutureExt,
+    http_types::{Body, Method, Request, Response, StatusCode, Url, headers::CONTENT_TYPE},
+    parking_lot::Mutex,
+    smol_str::{SmolStr, ToSmolStr, format_smolstr},
+    std::{fmt::Display, future::Future, net::SocketAddr, time::Duration},
+};
+
+/// Time for a connection to the store.
+const CONNECT_TIMEOUT_MS: u32 = 1_000;
+/// Time for the head of an answer, and for its body.
+const ANSWER_TIMEOUT_MS: u32 = 2_000;
+/// Connections kept for reuse.
+const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+
+/// [`Store`] over the platform's HTTP protocol.
+#[derive(Debug)]
+pub struct HttpStore {
+    addr: SocketAddr,
+    peer: SmolStr,
+    idle: Mutex<Vec<TcpStream>>,
+}
+
+/// Failure of one exchange, before it is known whether the call may have had an effect.
+enum Fault {
+    /// Nothing was sent, or the service said that the call had no effect.
+    NoEffect(SmolStr),
+    /// Bytes of the call may have arrived.
+    Open(SmolStr),
+    /// The service refused the call.
+    Refused(SmolStr),
+}
+
+impl HttpStore {
+    /// Creates an adapter; connections are made on the first call.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            peer: addr.to_smolstr(),
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    async fn call(&self, call: Call, wait_ms: u32) -> Result<Answer, StoreError> {
+        let step = call.name();
+        let writes = call.writes();
+        self.exchange(&call, wait_ms.saturating_add(ANSWER_TIMEOUT_MS))
+            .await
+            .map_err(|fault| self.error(step, writes, fault))
+    }
+
+    async fn exchange(&self, call: &Call, head_timeout_ms: u32) -> Result<Answer, Fault> {
+        let request = self.request(call).map_err(Fault::NoEffect)?;
+        let stream = self.connection().await?;
+        let sent = async_h1::connect(stream.clone(), request);
+        let mut response = within(head_timeout_ms, sent).await.map_err(Fault::Open)?;
+        let body = within(ANSWER_TIMEOUT_MS, whole_body(&mut response))
+            .await
+            .map_err(Fault::Open)?;
+        self.keep(stream, &response);
+        answer(response.status(), &body)
+    }
+
+    fn request(&self, call: &Call) -> Result<Request, SmolStr> {
+        let url = format!("http://{}{PATH}{}", self.addr, call.name());
+        let url = Url::parse(&url).map_err(text)?;
+        let body = serde_json::to_vec(call).map_err(text)?;
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(Body::from_bytes(body));
+        request.insert_header(CONTENT_TYPE, "application/json");
+        Ok(request)
+    }
+
+    async fn connection(&self) -> Result<TcpStream, Fault> {
+        while let Some(stream) = self.take_idle() {
+            if is_open(&stream) {
+                return Ok(stream);
+            }
+        }
+        let stream = within(CONNECT_TIMEOUT_MS, TcpStream::connect(self.addr))
+            .await
+            .map_err(Fault::NoEffect)?;
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+
+    fn take_idle(&self) -> Option<TcpStream> {
+        self.idle.lock().pop()
+    }
+
+    fn keep(&self, stream: TcpStream, response: &Response) {
+        let closes = response
+            .header("connection")
+            .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
+        let mut idle = self.idle.lock();
+        if !closes && idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(stream);
+        }
+    }
+
+    fn error(&self, step: &'static str, writes: bool, fault: Fault) -> StoreError {
+        let peer = self.peer.clone();
+        match fault {
+            Fault::Refused(detail) => StoreError::Refused { step, peer, detail },
+            Fault::Open(detail) if writes => StoreError::Uncertain { step, peer, detail },
+            Fault::Open(detail) | Fault::NoEffect(detail) => {
+                StoreError::Unavailable { step, peer, detail }
+            }
+        }
+    }
+
+    fn unexpected(&self, step: &'static str, writes: bool) -> StoreError {
+        let detail = SmolStr::new_static("the answer is of another kind");
+        self.error(step, writes, Fault::Open(detail))
+    }
+
+    fn entry(&self, step: &'static str, item: Item) -> Result<Entry, StoreError> {
+        Entry::try_from(item).map_err(|error| self.error(step, false, Fault::Open(text(error))))
+    }
+
+    fn swapped(&self, step: &'static str, answer: Answer) -> Result<Swap, StoreError> {
+        match answer {
+            Answer::Applied { version } => Ok(Swap::Applied(Version(version))),
+            Answer::Conflict { entry } => {
+                let entry = entry.map(|item| self.entry(step, item)).transpose()?;
+                Ok(Swap::Conflict(entry))
+            }
+            _ => Err(self.unexpected(step, true)),
+        }
+    }
+
+    fn maybe_entry(&self, step: &'static str, answer: Answer) -> Result<Option<Entry>, StoreError> {
+        match answer {
+            Answer::Entry { entry } => entry.map(|item| self.entry(step, item)).transpose(),
+            _ => Err(self.unexpected(step, false)),
+        }
+    }
+}
+
+#[async_trait]
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let key = SmolStr::new(key);
+        let answer = self.call(Call::Get { key }, 0).await?;
+        self.maybe_entry("get", answer)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>, StoreError> {
+        let prefix = SmolStr::new(prefix);
+        match self.call(Call::List { prefix }, 0).await? {
+            Answer::Entries { entries } => entries
+                .into_iter()
+                .map(|item| self.entry("list", item))
+                .collect(),
+            _ => Err(self.unexpected("list", false)),
+        }
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        let call = Call::Swap {
+            key: SmolStr::new(key),
+            expected: expected.0,
+            value: value.into(),
+            lease: lease.map(|lease| lease.0),
+        };
+        let answer = self.call(call, 0).await?;
+        self.swapped("swap", answer)
+    }
+
+    async fn remove(&self, key: &str, expected: Version) -> Result<Swap, StoreError> {
+        let call = Call::Remove {
+            key: SmolStr::new(key),
+            expected: expected.0,
+        };
+        let answer = self.call(call, 0).await?;
+        self.swapped("remove", answer)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        wait_ms: u32,
+    ) -> Result<Option<Entry>, StoreError> {
+        let call = Call::Watch {
+            key: SmolStr::new(key),
+            after: after.0,
+            wait_ms,
+        };
+        let answer = self.call(call, wait_ms).await?;
+        self.maybe_entry("watch", answer)
+    }
+
+    async fn grant(&self, ttl_ms: u32) -> Result<LeaseId, StoreError> {
+        match self.call(Call::Grant { ttl_ms }, 0).await? {
+            Answer::Lease { lease } => Ok(LeaseId(lease)),
+            _ => Err(self.unexpected("grant", true)),
+        }
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+        match self.call(Call::Renew { lease: lease.0 }, 0).await? {
+            Answer::Renewed => Ok(()),
+            _ => Err(self.unexpected("renew", true)),
+        }
+    }
+}
+
+/// Tells whether an idle connection is still open: the peer sent neither bytes nor its end.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.peek(&mut [0]).now_or_never().is_none()
+}
+
+async fn within<T, E: Display>(
+    limit_ms: u32,
+    step: impl Future<Output = Result<T, E>>,
+) -> Result<T, SmolStr> {
+    match timeout(Duration::from_millis(u64::from(limit_ms)), step).await {
+        Ok(result) => result.map_err(text),
+        Err(_) => Err(format_smolstr!("timeout after {limit_ms} ms")),
+    }
+}
+
+async fn whole_body(response: &mut Response) -> Result<Vec<u8>, SmolStr> {
+    let announced = response.len().map(|len| len as u64);
+    let mut body = Vec::new();
+    response
+        .take_body()
+        .take(MAX_ANSWER_BYTES)
+        .read_to_end(&mut body)
+        .await
+        .map_err(text)?;
+    match announced {
+        Some(len_bytes) if len_bytes == body.len() as u64 => Ok(body),
+        Some(len_bytes) => Err(format_smolstr!("{} of {len_bytes} bytes", body.len())),
+        None => Err(SmolStr::new_static("the answer has no length")),
+    }
+}
+
+fn answer(status: StatusCode, body: &[u8]) -> Result<Answer, Fault> {
+    if status.is_success() {
+        return serde_json::from_slice(body).map_err(|error| Fault::Open(text(error)));
+    }
+    let detail = format_smolstr!("{status}: {}", String::from_utf8_lossy(body));
+    match status {
+        StatusCode::ServiceUnavailable => Err(Fault::NoEffect(detail)),
+        _ if status.is_client_error() => Err(Fault::Refused(detail)),
+        _ => Err(Fault::Open(detail)),
+    }
+}
+
+fn text(value: impl Display) -> SmolStr {
+    value.to_smolstr()
+}
--- a/src/store.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,11 @@
 //! Compare-and-swap, leases and watches; everything else is left to adapters. A write whose answer
 //! is lost yields [`StoreError::Uncertain`]: it may have taken effect.
 
+pub mod http;
+pub mod memory;
+pub mod table;
+pub mod wire;
+
 use {
     async_trait::async_trait,
     derive_more::{Display, Error},
