--- a/src/config/builtin.rs
+++ b/src/config/builtin.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        config::{Change, ClassRule, Config, DrainTarget, Rules, ServiceRule},
+        config::{Change, ClassRule, Config, DrainTarget, Revision, Rules, ServiceRule},
         request::{ClassName, Importance},
     },
     smol_str::SmolStr,
@@ -55,11 +55,27 @@
         self.history.last()
     }
 
+    /// Order of configurations: the greater is in force.
+    ///
+    /// Revisions differ unless the store lost writes; then the identity of the last change decides,
+    /// the same way at each daemon.
+    pub fn precedence(&self) -> (Revision, &str) {
+        let id = self.last_change().map_or("", |change| change.id.as_str());
+        (self.revision, id)
+    }
+
     /// Change of this identity, if the history still holds it.
     pub fn change(&self, id: &str) -> Option<&Change> {
         self.history.iter().rev().find(|change| change.id == id)
     }
 
+    /// Whether the history reaches back to the change that made `revision`.
+    pub fn remembers(&self, revision: Revision) -> bool {
+        self.history
+            .iter()
+            .any(|change| change.revision == revision)
+    }
+
     /// Whether a worker is ordered to leave, and if so whether it is to be stopped.
     pub fn ordered(&self, worker: &str, vm: &str, data_centre: &str) -> Option<bool> {
         let names = |target: &DrainTarget| match target {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod collections;
 pub mod config;
+pub mod control;
 pub mod place;
 pub mod policy;
 pub mod request;
