--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod net;
+pub mod control;
 pub mod place;
 pub mod policy;
 pub mod request;
