Add the stand-in backend server and callers

The product needs something to call and something to be called before any policy can be measured. The backend server records every run outside its own process; callers check that each answer is whole and their own.

--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins, load and experiments for shallotdeal.
+//!
+//! Real daemon processes run on loopback; the backend servers and callers are small stand-ins that
+//! record what they ran and what they were told, so that promises are checked from a history.
+
+pub mod backend;
+pub mod caller;
+pub mod client;
+pub mod load;
+pub mod record;
+pub mod report;
+pub mod scenario;
+pub mod wire;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,3 +1,9 @@
-//! Load and experiment tool for shallotdeal.
+//! The `lab` binary.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cmd::run()
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,141 @@
+//! Figures of one run: goodput by class and latency.
+
+use {
+    crate::{
+        record::{RequestRecord, Verdict},
+        scenario::Scenario,
+    },
+    hdrhistogram::Histogram,
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::fmt::Write,
+};
+
+/// Largest latency that the histogram holds.
+const LATENCY_LIMIT_US: u64 = 120_000_000;
+
+/// What became of the requests of one class.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Tally {
+    /// Name of the class.
+    pub class: SmolStr,
+    /// Requests that callers wanted to make.
+    pub offered: u64,
+    /// Requests complete within their deadline.
+    pub good: u64,
+    /// Requests whose last answer was `not-run`, or that got no ticket.
+    pub refused: u64,
+    /// Requests whose last answer was `unknown`, or that got none.
+    pub unknown: u64,
+    /// Requests that a backend server answered with a failure, or too late.
+    pub failed: u64,
+    /// Sends for one request, mean.
+    pub sends_mean: f64,
+    /// Latency of good requests.
+    pub p50_us: u64,
+    /// Latency of good requests.
+    pub p99_us: u64,
+    /// Latency of good requests.
+    pub max_us: u64,
+}
+
+impl Tally {
+    /// Counts by class, in the order of the scenario.
+    pub fn by_class(scenario: &Scenario, records: &[RequestRecord]) -> Vec<Self> {
+        scenario
+            .classes
+            .iter()
+            .map(|class| {
+                let own: Vec<_> = records
+                    .iter()
+                    .filter(|record| record.class == class.name)
+                    .collect();
+                Self::new(class.name.clone(), &own)
+            })
+            .collect()
+    }
+
+    /// Share of the offered requests that were good.
+    pub fn goodput_percent(&self) -> f64 {
+        if self.offered == 0 {
+            return 100.0;
+        }
+        self.good as f64 * 100.0 / self.offered as f64
+    }
+
+    /// Table for people.
+    pub fn table(tallies: &[Self]) -> String {
+        let mut table = String::from(
+            "  class            offered    good   good%  refused  unknown  failed  sends   p50 ms   p99 ms   max ms\n",
+        );
+        for tally in tallies {
+            writeln!(
+                table,
+                "  {:<16} {:>7} {:>7} {:>6.1}% {:>8} {:>8} {:>7} {:>6.2} {:>8.1} {:>8.1} {:>8.1}",
+                tally.class,
+                tally.offered,
+                tally.good,
+                tally.goodput_percent(),
+                tally.refused,
+                tally.unknown,
+                tally.failed,
+                tally.sends_mean,
+                ms(tally.p50_us),
+                ms(tally.p99_us),
+                ms(tally.max_us),
+            )
+            .ok();
+        }
+        table
+    }
+
+    fn new(class: SmolStr, records: &[&RequestRecord]) -> Self {
+        let mut latency = latency_histogram();
+        let mut tally = Self {
+            class,
+            offered: records.len() as u64,
+            good: 0,
+            refused: 0,
+            unknown: 0,
+            failed: 0,
+            sends_mean: 0.0,
+            p50_us: 0,
+            p99_us: 0,
+            max_us: 0,
+        };
+        let mut sends = 0;
+        for record in records {
+            sends += record.sends.len();
+            tally.count(record);
+            if record.good {
+                latency.saturating_record(record.ended_us.saturating_sub(record.offered_us));
+            }
+        }
+        tally.sends_mean = sends as f64 / records.len().max(1) as f64;
+        tally.p50_us = latency.value_at_quantile(0.5);
+        tally.p99_us = latency.value_at_quantile(0.99);
+        tally.max_us = latency.max();
+        tally
+    }
+
+    fn count(&mut self, record: &RequestRecord) {
+        let last = record.sends.last().map(|send| send.verdict);
+        let counter = match last {
+            _ if record.good => &mut self.good,
+            _ if record.ticket_failed => &mut self.refused,
+            None | Some(Verdict::NotRun | Verdict::Unreached) => &mut self.refused,
+            Some(Verdict::Unknown | Verdict::TimedOut | Verdict::Broken) => &mut self.unknown,
+            Some(_) => &mut self.failed,
+        };
+        *counter += 1;
+    }
+}
+
+/// Histogram that holds any latency of a run.
+pub(crate) fn latency_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_LIMIT_US, 3).expect("constant bounds are valid")
+}
+
+fn ms(us: u64) -> f64 {
+    us as f64 / 1_000.0
+}
--- /dev/null
+++ b/lab/src/wire.rs
@@ -0,0 +1,84 @@
+//! What callers, backend servers and daemons say to each other, as the stand-ins see it.
+
+use {
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    std::net::SocketAddr,
+};
+
+/// Identity of a client request, 32 hex digits.
+pub const REQUEST_ID: &str = "Request-Id";
+/// Class of a client request.
+pub const REQUEST_CLASS: &str = "Request-Class";
+/// Time that the caller still waits, in milliseconds.
+pub const REQUEST_TIMEOUT: &str = "Request-Timeout";
+/// One for the first send, counted up with each resend.
+pub const REQUEST_ATTEMPT: &str = "Request-Attempt";
+/// Ticket of a non-idempotent request.
+pub const REQUEST_TICKET: &str = "Request-Ticket";
+/// Absolute deadline that a backend server is told, in milliseconds since the Unix epoch.
+pub const REQUEST_DEADLINE: &str = "Request-Deadline";
+/// Outcome that a caller is told.
+pub const REQUEST_OUTCOME: &str = "Request-Outcome";
+/// Why a request has no answer of a backend server.
+pub const REQUEST_REASON: &str = "Request-Reason";
+/// Advice on when to send again, in seconds.
+pub const RETRY_AFTER: &str = "Retry-After";
+/// Advice on when to send again, in milliseconds.
+pub const RETRY_AFTER_MS: &str = "Retry-After-Ms";
+/// Handle by which a backend server's nested calls are tied to the call they belong to.
+pub const CALL_ID: &str = "Call-Id";
+
+/// Position of a call in the call tree; only the stand-ins read it.
+pub const LAB_NODE: &str = "Lab-Node";
+/// Run that made a nested call; only the stand-ins read it.
+pub const LAB_PARENT: &str = "Lab-Parent";
+/// Identity of an order, which a resend keeps; only the stand-ins read it.
+pub const LAB_ORDER: &str = "Lab-Order";
+
+/// Body text that ends the process of each backend server that runs it.
+pub const CRASH_MARKER: &str = "lab-crash";
+
+/// Path at a daemon under which tickets are made.
+pub const TICKETS: &str = "/.shallotdeal/tickets";
+/// Path at a daemon's worker address.
+pub const WORKER: &str = "/worker";
+
+/// Port of a daemon's callers.
+pub const CALLERS_PORT: u16 = 7000;
+/// Port of calls between daemons.
+pub const CALLS_PORT: u16 = 7001;
+/// Port of gossip.
+pub const GOSSIP_PORT: u16 = 7002;
+/// Port of operators.
+pub const OPERATORS_PORT: u16 = 7003;
+/// Port on which a daemon's own backend server announces itself.
+pub const WORKER_PORT: u16 = 7004;
+/// Port of the stand-in backend server.
+pub const BACKEND_PORT: u16 = 7010;
+
+/// Announcement of a backend server to its daemon, repeated as keep-alive.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Service that the backend server runs.
+    pub service: SmolStr,
+    /// Address on which it takes calls.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Identity of this life of the process.
+    pub instance: SmolStr,
+}
+
+/// Answer of the daemon to an announcement.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct AnnouncementAnswer {
+    /// No new work comes.
+    #[serde(default)]
+    pub draining: bool,
+    /// The backend server may end itself.
+    #[serde(default)]
+    pub stop: bool,
+}
