--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,16 @@
 pub mod node;
 pub mod operators;
 pub mod order;
+pub mod fleet;
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::all,
+    clippy::pedantic,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod fleet_capnp;
 pub mod place;
 pub mod policy;
 pub mod request;
