Route calls between daemons through membership

Cause: a daemon knew its own worker only. Change: the directory picks workers from the gossiped view; daemons publish their worker, level, revision and suspects, follow newer configurations and keep first contacts; a crash of the backend server is a reason of its own and blames the request at the ingress too.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -52,23 +52,24 @@
         Ok(announcement) => announcement,
         Err(error) => return Ok(refused(tide::StatusCode::BadRequest, &error)),
     };
-    match request.state().announced(announcement) {
-        Some(standing) => Ok(tide::Response::builder(tide::StatusCode::Ok)
-            .body(tide::Body::from_json(&standing)?)
-            .build()),
-        None => {
-            let cause = "another backend server announces itself to this daemon";
-            Ok(refused(tide::StatusCode::Conflict, &cause))
-        }
-    }
+    let Some(standing) = request.state().announced(announcement) else {
+        let cause = "another backend server announces itself to this daemon";
+        return Ok(refused(tide::StatusCode::Conflict, &cause));
+    };
+    json(&standing)
 }
 
 async fn leave(request: tide::Request<Arc<Node>>) -> tide::Result {
     let node = request.state();
     let standing = node.ask_drain(|asked| asked.backend = true);
     node.metrics.count("worker.notice");
+    json(&standing)
+}
+
+fn json(standing: &Standing) -> tide::Result {
+    let body = tide::Body::from_json(standing)?;
     Ok(tide::Response::builder(tide::StatusCode::Ok)
-        .body(tide::Body::from_json(&standing)?)
+        .body(body)
         .build())
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,8 +7,14 @@
         call::Serve,
         clock::{Clock, SystemClock},
         config::Config,
-        control::enforced::Live,
-        directory::Directory,
+        control::{enforced::Live, reader},
+        directory::FleetDirectory,
+        fleet::{
+            Fleet, FleetRules,
+            member::Generation,
+            route::{RouteRules, Router},
+            udp::Gossip,
+        },
         ingress::Ingress,
         local::Loss,
         metrics::Metrics,
@@ -18,11 +24,14 @@
         settings::{Settings, StoreKind},
         store::{Store, http::HttpStore, memory::MemoryStore},
         supervisor::{Supervisor, TaskError},
+        sync::{self, View},
     },
     async_io::Timer,
     async_std::{net::TcpListener, task},
     futures::FutureExt,
-    rand::RngExt,
+    parking_lot::Mutex,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     std::{sync::Arc, thread, time::Duration},
 };
 
@@ -44,21 +53,38 @@
         StoreKind::Http(_) => Config::initial(),
     };
     let live = Arc::new(Live::new(config, Arc::clone(&clock)));
-    let directory: Arc<dyn Directory> = Arc::new(crate::directory::Solo);
+    let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
+    let generation = Generation::starting(clock.now_unix_ms(), rng.random());
+    let fleet = Fleet::new(
+        FleetRules::default(),
+        settings.place.clone(),
+        generation,
+        rng.random(),
+    );
+    let fleet = Arc::new(Mutex::new(fleet));
+    fleet.lock().join(&settings.seeds);
+    let router = Router::new(RouteRules::default());
+    let directory = FleetDirectory::new(Arc::clone(&fleet), router, rng.clone());
+    let gossip = task::block_on(Gossip::bind(
+        settings.listen.gossip_addr,
+        Arc::clone(&fleet),
+        Arc::clone(&clock),
+    ))
+    .map_err(|error| TaskError::new("gossip", &error))?;
     let node = Node::new(Parts {
         backend: Arc::new(HttpBackend::new(settings.limits.max_body_bytes)),
         settings,
         clock,
         metrics,
         peers: Arc::new(peers),
-        directory,
+        directory: Arc::new(directory),
         store,
         live,
-        seed: rand::rng().random(),
+        seed: rng.random(),
     });
     start_calls(Arc::clone(&node), client_task)?;
     tracing::info!(daemon = %node.settings.place.name, "started");
-    Err(task::block_on(supervise(&node).run()))
+    Err(task::block_on(supervise(&node, &fleet, gossip).run()))
 }
 
 fn open_metrics(settings: &Settings) -> Result<Metrics, TaskError> {
@@ -96,7 +122,7 @@
 }
 
 /// Builds the tree of tasks.
-fn supervise(node: &Arc<Node>) -> Supervisor {
+fn supervise(node: &Arc<Node>, fleet: &Arc<Mutex<Fleet>>, gossip: Gossip) -> Supervisor {
     let mut root = Supervisor::new(Arc::clone(&node.metrics));
     let listen = node.settings.listen;
     let ingress = Ingress::new(
@@ -124,6 +150,22 @@
     });
     let ticking_node = Arc::clone(node);
     root.add("tick", move || tick(Arc::clone(&ticking_node)));
+    root.add("gossip", move || sync::gossip(gossip.clone()));
+    let pair = (Arc::clone(node), Arc::clone(fleet));
+    let (publish, follow, seek) = (pair.clone(), pair.clone(), pair);
+    root.add("publish", move || {
+        sync::publish(Arc::clone(&publish.0), Arc::clone(&publish.1))
+    });
+    root.add("follow", move || {
+        sync::follow(Arc::clone(&follow.0), Arc::clone(&follow.1))
+    });
+    root.add("seek", move || {
+        sync::seek(Arc::clone(&seek.0), Arc::clone(&seek.1))
+    });
+    let (reading, view) = (Arc::clone(node), Arc::clone(fleet));
+    root.add("reader", move || {
+        read_config(Arc::clone(&reading), Arc::clone(&view))
+    });
     root
 }
 
@@ -131,6 +173,23 @@
     ended.map_err(|error| TaskError::new(task, &error))
 }
 
+/// Reads the configuration from the store, as far as this daemon is in charge of it.
+async fn read_config(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+    let own = node.settings.place.name.clone();
+    let (store, live) = (Arc::clone(&node.store), Arc::clone(&node.live));
+    let seed = node.rng.lock().random();
+    reader::run(
+        own,
+        store,
+        live,
+        Arc::new(View(fleet)),
+        Arc::clone(&node.clock),
+        seed,
+    )
+    .await;
+    Ok(())
+}
+
 async fn tick(node: Arc<Node>) -> Result<(), TaskError> {
     loop {
         Timer::after(Duration::from_millis(TICK_MS)).await;
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,8 +1,16 @@
 //! Choice of a worker for a call.
 
 use {
-    crate::request::{Incarnation, Level, Rank, ServiceName},
-    std::{net::SocketAddr, time::Duration},
+    crate::{
+        fleet::{
+            Evidence, Fleet,
+            route::{Ask, CallEnd, Router},
+        },
+        request::{Incarnation, Rank, ServiceName},
+    },
+    parking_lot::Mutex,
+    rand_chacha::ChaCha8Rng,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// What a worker is wanted for.
@@ -13,9 +21,11 @@
     /// Order in which the call is shed.
     pub rank: Rank,
     /// Time left until the deadline.
-    pub remaining: Duration,
+    pub remaining_us: u64,
     /// Workers that the call has been to.
     pub tried: &'a [Incarnation],
+    /// Expected bytes of the call and its answer.
+    pub transfer_bytes: u32,
 }
 
 /// A worker that a call may be sent to.
@@ -30,51 +40,94 @@
 /// How a call to a worker ended, as far as the choice of workers cares.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
-    /// With an answer.
+    /// Its daemon answered or refused it.
     Answered,
-    /// With a refusal by the worker's daemon.
-    Refused,
-    /// Its daemon could not be reached.
+    /// Its daemon could not be reached, or the connection broke.
     Unreachable,
-    /// It was cut, or the caller gave up.
+    /// The caller gave up.
     Cancelled,
 }
 
 /// View of the workers of all services.
 pub trait Directory: Send + Sync {
-    /// Chooses a worker without counting a call to it.
+    /// Chooses a worker.
     fn choose(&self, wanted: &Wanted<'_>, now_us: u64) -> Option<Target>;
 
-    /// Picks a worker and counts a call to it.
-    fn pick(&self, wanted: &Wanted<'_>, now_us: u64) -> Option<Target>;
-
-    /// Counts a call to a worker that was not picked here, as one with a ticket.
-    fn started(&self, target: Target);
+    /// Counts a call to a worker.
+    fn started(&self, target: Target, now_us: u64);
 
     /// Takes note of the end of a call.
-    fn ended(&self, target: Target, ended: Ended, level: Option<Level>, now_us: u64);
+    fn ended(&self, target: Target, ended: Ended, latency_us: u64, now_us: u64);
 
     /// Tells whether any worker offers the service.
     fn knows(&self, service: &str) -> bool;
 }
 
-/// Directory of a daemon that knows its own worker only.
-pub struct Solo;
+/// Directory that rests on the daemon's view of the fleet.
+pub struct FleetDirectory {
+    fleet: Arc<Mutex<Fleet>>,
+    router: Mutex<Router>,
+    rng: Mutex<ChaCha8Rng>,
+}
 
-impl Directory for Solo {
-    fn choose(&self, _: &Wanted<'_>, _: u64) -> Option<Target> {
-        None
+impl FleetDirectory {
+    /// Creates a directory without records of calls.
+    pub fn new(fleet: Arc<Mutex<Fleet>>, router: Router, rng: ChaCha8Rng) -> Self {
+        Self {
+            fleet,
+            router: Mutex::new(router),
+            rng: Mutex::new(rng),
+        }
     }
 
-    fn pick(&self, _: &Wanted<'_>, _: u64) -> Option<Target> {
-        None
+    /// Forgets workers without calls.
+    pub fn sweep(&self, now_us: u64) {
+        self.router.lock().sweep(now_us);
     }
+}
 
-    fn started(&self, _: Target) {}
+impl Directory for FleetDirectory {
+    fn choose(&self, wanted: &Wanted<'_>, now_us: u64) -> Option<Target> {
+        let ask = Ask {
+            service: wanted.service,
+            rank: wanted.rank,
+            excluded: wanted.tried,
+            time_left_us: wanted.remaining_us,
+            transfer_bytes: wanted.transfer_bytes,
+        };
+        let fleet = self.fleet.lock();
+        let mut rng = self.rng.lock();
+        let choice = self.router.lock().pick(&fleet, &ask, now_us, &mut *rng)?;
+        Some(Target {
+            call_addr: choice.place.call_addr,
+            incarnation: choice.incarnation,
+        })
+    }
 
-    fn ended(&self, _: Target, _: Ended, _: Option<Level>, _: u64) {}
+    fn started(&self, target: Target, now_us: u64) {
+        self.router.lock().started(target.incarnation, now_us);
+    }
+
+    fn ended(&self, target: Target, ended: Ended, latency_us: u64, now_us: u64) {
+        let end = match ended {
+            Ended::Unreachable => CallEnd::Failed,
+            Ended::Answered | Ended::Cancelled => CallEnd::Answered,
+        };
+        self.router
+            .lock()
+            .finished(target.incarnation, latency_us as u32, end, now_us);
+        let evidence = match ended {
+            Ended::Answered => Evidence::Reachable,
+            Ended::Unreachable => Evidence::Unreachable,
+            Ended::Cancelled => return,
+        };
+        self.fleet
+            .lock()
+            .evidence(target.incarnation, evidence, now_us);
+    }
 
-    fn knows(&self, _: &str) -> bool {
-        false
+    fn knows(&self, service: &str) -> bool {
+        let fleet = self.fleet.lock();
+        fleet.workers(service).next().is_some() || fleet.remote().offers(service).next().is_some()
     }
 }
--- a/src/dump.rs
+++ b/src/dump.rs
@@ -7,7 +7,7 @@
     },
     async_trait::async_trait,
     serde_json::{Value, json},
-    std::sync::Arc,
+    std::{fmt::Write, sync::Arc},
 };
 
 impl Node {
@@ -68,10 +68,10 @@
     };
     for (name, value) in entries {
         if value.is_object() || value.is_array() {
-            text.push_str(&format!("{indent}{name}:\n"));
+            let _ = writeln!(text, "{indent}{name}:");
             write_tree(value, depth + 1, text);
         } else {
-            text.push_str(&format!("{indent}{name}: {value}\n"));
+            let _ = writeln!(text, "{indent}{name}: {value}");
         }
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,7 +7,7 @@
         ingress::{Incoming, Origin},
         local::CallId,
         node::Node,
-        policy::{retry::AccountKey, ticket::Ticket},
+        policy::{retry::AccountKey, suspect::Fingerprint, ticket::Ticket},
         request::{ClassName, Importance, Rank, Reason, Refusal, RequestId, ServiceName},
     },
     rand::RngExt,
@@ -57,6 +57,8 @@
     pub is_resend: bool,
     /// When the caller says that it sent the request first.
     pub first_sent_unix_ms: Option<u64>,
+    /// Hash of what the backend server is to run.
+    pub fingerprint: Fingerprint,
     /// What the backend server is to run.
     pub request: Arc<Request>,
 }
@@ -110,6 +112,7 @@
         if depth > MAX_DEPTH {
             return Err(Refusal::not_run(Reason::BadRequest));
         }
+        let fingerprint = incoming.fingerprint();
         Ok(Outgoing {
             request_id: parent.request_id,
             service: incoming.service,
@@ -126,6 +129,7 @@
             key: None,
             is_resend: false,
             first_sent_unix_ms: None,
+            fingerprint,
             request: Arc::new(incoming.request),
         })
     }
@@ -138,6 +142,7 @@
         config: &Config,
         now_us: u64,
     ) -> Result<Outgoing, Refusal> {
+        let fingerprint = incoming.fingerprint();
         let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
         let rule = config.class(&class);
         let is_named = config.classes.contains_key(&class) && class != DEFAULT_CLASS;
@@ -183,6 +188,7 @@
             key,
             is_resend: incoming.attempt > 1,
             first_sent_unix_ms: incoming.first_sent_unix_ms,
+            fingerprint,
             request: Arc::new(incoming.request),
         })
     }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,6 +9,7 @@
         policy::{
             paths::PathLevels,
             retry::{Attempt, Loan, Retry},
+            suspect::SuspectVerdict,
             verdict::{Denial, Heard, Sent, verdict},
         },
         request::{Incarnation, Level, Outcome, Reason, Refusal},
@@ -19,6 +20,9 @@
     std::{pin::pin, sync::Arc, time::Duration},
 };
 
+/// Size of an answer, for the choice of a worker.
+const EXPECTED_ANSWER_BYTES: u32 = 2_048;
+
 /// Sends of one call beyond which the baseline gives up.
 const BASELINE_SENDS: usize = 3;
 
@@ -28,7 +32,6 @@
     tried: Vec<Incarnation>,
     moves: u8,
     may_have_run: bool,
-    was_broken: bool,
 }
 
 impl Node {
@@ -61,20 +64,36 @@
         let target = self.target(out, trail, remaining_us, now_us)?;
         let loan = self.local.lock().accounts.lend(out.account);
         let loan = loan.ok_or(Refusal::not_run(Reason::Cancelled))?;
-        let call = self.call(out, trail, target, remaining_us, &loan);
+        let call = self.call(out, target, remaining_us, &loan);
         if trail.tried.is_empty() {
             self.ratio(&out.service, |ratio| ratio.first(now_us));
         }
         trail.tried.push(target.incarnation);
-        let picked = Picked {
-            node: self,
-            target,
-            is_open: true,
-        };
+        let picked = Picked::new(self, target, now_us);
         let sent = self.send(target, call, out).await;
         self.settle(out, trail, picked, loan, sent)
     }
 
+    /// Takes note that a worker crashed while it ran the request.
+    fn blame(&self, out: &Outgoing, incarnation: Incarnation) {
+        let blamed = [(out.fingerprint, out.service.clone())];
+        let now_unix_ms = self.clock.now_unix_ms();
+        self.local
+            .lock()
+            .suspects
+            .blame(incarnation, blamed, now_unix_ms);
+    }
+
+    fn is_suspect(&self, out: &Outgoing) -> bool {
+        let now_unix_ms = self.clock.now_unix_ms();
+        let verdict = self
+            .local
+            .lock()
+            .suspects
+            .verdict(out.fingerprint, now_unix_ms);
+        !self.is_baseline() && verdict != SuspectVerdict::Run
+    }
+
     /// Refuses at once what a service further on would refuse.
     fn check_path(&self, out: &Outgoing, now_us: u64) -> Result<(), Refusal> {
         if self.is_baseline() {
@@ -107,28 +126,21 @@
                 call_addr: ticket.call_addr,
                 incarnation: ticket.incarnation,
             };
-            self.directory.started(target);
             return Ok(target);
         }
         let wanted = Wanted {
             service: &out.service,
             rank: out.rank(),
-            remaining: Duration::from_micros(remaining_us),
+            remaining_us,
             tried: &trail.tried,
+            transfer_bytes: EXPECTED_ANSWER_BYTES + out.request.body.len() as u32,
         };
         self.directory
-            .pick(&wanted, now_us)
+            .choose(&wanted, now_us)
             .ok_or(Refusal::not_run(Reason::NoWorker))
     }
 
-    fn call(
-        &self,
-        out: &Outgoing,
-        trail: &Trail,
-        target: Target,
-        remaining_us: u64,
-        loan: &Loan,
-    ) -> Call {
+    fn call(&self, out: &Outgoing, target: Target, remaining_us: u64, loan: &Loan) -> Call {
         Call {
             request_id: out.request_id,
             service: out.service.clone(),
@@ -141,7 +153,7 @@
             depth: out.depth,
             ticket: out.ticket.as_ref().map(|ticket| ticket.to_string().into()),
             first_attempt: out.first_attempt,
-            exclusive: trail.was_broken && !self.is_baseline(),
+            exclusive: self.is_suspect(out),
             request: Arc::clone(&out.request),
         }
     }
@@ -200,18 +212,15 @@
             now_us,
         );
         self.note_path_level(out, reply.path_level);
-        let ended = if reply.result.is_ok() {
-            Ended::Answered
-        } else {
-            Ended::Refused
-        };
-        picked.end(ended, Some(reply.path_level));
+        picked.end(Ended::Answered);
         let refusal = match reply.result {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         trail.may_have_run |= refusal.outcome == Outcome::Unknown;
-        trail.was_broken |= refusal.reason == Reason::Broken;
+        if refusal.reason == Reason::Crashed {
+            self.blame(out, target.incarnation);
+        }
         if !out.needs_ticket() {
             return Err(refusal);
         }
@@ -234,11 +243,10 @@
         tracing::debug!(%error, "no reply");
         self.metrics.count("call.unanswered");
         trail.may_have_run |= error.may_have_run;
-        trail.was_broken |= error.may_have_run;
         if !error.may_have_run {
             self.local.lock().accounts.revoke(out.account, loan);
         }
-        picked.end(Ended::Unreachable, None);
+        picked.end(Ended::Unreachable);
         let reason = if error.may_have_run {
             Reason::Broken
         } else {
@@ -347,24 +355,32 @@
 struct Picked<'a> {
     node: &'a Node,
     target: Target,
-    is_open: bool,
+    started_us: u64,
+    ended: Ended,
 }
 
-impl Picked<'_> {
-    fn end(mut self, ended: Ended, level: Option<Level>) {
-        self.is_open = false;
-        let now_us = self.node.clock.now_us();
-        self.node.directory.ended(self.target, ended, level, now_us);
+impl<'a> Picked<'a> {
+    fn new(node: &'a Node, target: Target, now_us: u64) -> Self {
+        node.directory.started(target, now_us);
+        Self {
+            node,
+            target,
+            started_us: now_us,
+            ended: Ended::Cancelled,
+        }
+    }
+
+    fn end(mut self, ended: Ended) {
+        self.ended = ended;
     }
 }
 
 impl Drop for Picked<'_> {
     fn drop(&mut self) {
-        if self.is_open {
-            let now_us = self.node.clock.now_us();
-            self.node
-                .directory
-                .ended(self.target, Ended::Cancelled, None, now_us);
-        }
+        let now_us = self.node.clock.now_us();
+        let latency_us = now_us.saturating_sub(self.started_us);
+        self.node
+            .directory
+            .ended(self.target, self.ended, latency_us, now_us);
     }
 }
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -5,6 +5,7 @@
         backend::end_to_end,
         call::{Answer, Request},
         metrics::Metrics,
+        policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
         settings::Limits,
     },
@@ -77,6 +78,19 @@
     pub first_sent_unix_ms: Option<u64>,
 }
 
+impl Incoming {
+    /// Hash of what the backend server is to run.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let Request {
+            method,
+            target,
+            body,
+            ..
+        } = &self.request;
+        Fingerprint::new(&self.service, method, target, body)
+    }
+}
+
 /// What handles requests.
 #[async_trait]
 pub trait Handle: Send + Sync {
@@ -377,6 +391,7 @@
         Reason::Unreachable => "refused.unreachable",
         Reason::Broken => "refused.broken",
         Reason::Cancelled => "refused.cancelled",
+        Reason::Crashed => "refused.crashed",
         Reason::StoreUnavailable => "refused.store_unavailable",
         Reason::Internal => "refused.internal",
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod dump;
 pub mod entry;
+pub mod fleet;
 pub mod forward;
 pub mod ingress;
 pub mod local;
@@ -27,7 +28,6 @@
 pub mod node;
 pub mod operators;
 pub mod order;
-pub mod fleet;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -45,4 +45,5 @@
 pub mod settings;
 pub mod store;
 pub mod supervisor;
+pub mod sync;
 pub mod worker;
--- a/src/order.rs
+++ b/src/order.rs
@@ -11,14 +11,14 @@
         },
         request::{Importance, Rank, Reason, Refusal, ServiceName},
     },
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
 };
 
 /// Time for which a ticket can be used.
 pub const TICKET_LIFETIME_MS: u32 = 120_000;
 
 /// Time that a request under a new ticket may take, for the choice of the worker.
-const TICKET_REMAINING: Duration = Duration::from_secs(1);
+const TICKET_REMAINING_US: u64 = 1_000_000;
 
 impl Node {
     /// Mints a ticket for a worker of the service.
@@ -26,8 +26,9 @@
         let wanted = Wanted {
             service,
             rank: Rank::from_parts(Importance(0), 0),
-            remaining: TICKET_REMAINING,
+            remaining_us: TICKET_REMAINING_US,
             tried: &[],
+            transfer_bytes: 0,
         };
         let target = self.directory.choose(&wanted, self.clock.now_us());
         let target = target.ok_or_else(|| {
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -267,6 +267,7 @@
             | Reason::WorkerFull
             | Reason::Unreachable
             | Reason::Broken
+            | Reason::Crashed
             | Reason::Internal => Retry::Paid,
             _ => Retry::PassUp,
         }
--- a/src/request.rs
+++ b/src/request.rs
@@ -217,6 +217,9 @@
     /// The connection broke or the answer was cut before it was whole.
     #[display("broken")]
     Broken,
+    /// The backend server crashed while it ran the request.
+    #[display("crashed")]
+    Crashed,
     /// The caller or an upstream service gave up.
     #[display("cancelled")]
     Cancelled,
--- a/src/rpc/convert.rs
+++ b/src/rpc/convert.rs
@@ -30,6 +30,7 @@
     Reason::Broken,
     Reason::Cancelled,
     Reason::StoreUnavailable,
+    Reason::Crashed,
 ];
 
 const NOT_RUN: u8 = 1;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -89,9 +89,10 @@
     }
 
     /// Finds out whether the worker's process has ended, and takes its death.
-    async fn check_death(&self, incarnation: Incarnation, addr: SocketAddr) {
+    async fn has_crashed(&self, incarnation: Incarnation, addr: SocketAddr) -> bool {
         if self.backend.is_listening(addr).await {
-            return;
+            // A server that has come back at the address has another incarnation.
+            return self.local.lock().incarnation() != Some(incarnation);
         }
         let now = self.now();
         let is_new = self.local.lock().lose_worker(incarnation, Loss::Crash, now);
@@ -99,6 +100,7 @@
             self.metrics.count("worker.crashed");
             tracing::warn!(%incarnation, %addr, "backend server crashed");
         }
+        true
     }
 }
 
@@ -139,14 +141,15 @@
             Either::Left((result, _)) => result,
             Either::Right(_) => Err(cut_off(started.addr)),
         };
-        if let Err(error) = &result
-            && !error.timed_out
-        {
-            self.node
-                .check_death(self.call.incarnation, started.addr)
-                .await;
-        }
-        self.finish(slot, once, result)
+        let has_crashed = match &result {
+            Err(error) if !error.timed_out => {
+                self.node
+                    .has_crashed(self.call.incarnation, started.addr)
+                    .await
+            }
+            _ => false,
+        };
+        self.finish(slot, once, result, has_crashed)
     }
 
     /// Waits for the gate.
@@ -278,6 +281,7 @@
         mut slot: Slot,
         once: Option<OnceKey>,
         result: Result<Answer, BackendError>,
+        has_crashed: bool,
     ) -> Reply {
         slot.finish = if result.is_ok() {
             Finish::Done
@@ -303,7 +307,7 @@
                     is_final: false,
                 };
             }
-            Err(error) => refusal_for(&error),
+            Err(error) => refusal_for(&error, has_crashed),
         };
         let mut reply = match once {
             Some(key) => denied(local.once.lose(key, refusal.reason), None, path_level),
@@ -379,7 +383,7 @@
     }
 }
 
-fn refusal_for(error: &BackendError) -> Refusal {
+fn refusal_for(error: &BackendError, has_crashed: bool) -> Refusal {
     tracing::debug!(%error, "call failed");
     let outcome = if error.may_have_run {
         Outcome::Unknown
@@ -388,6 +392,7 @@
     };
     let reason = match (error.timed_out, error.may_have_run) {
         (true, _) => Reason::Deadline,
+        (false, true) if has_crashed => Reason::Crashed,
         (false, true) => Reason::Broken,
         (false, false) => Reason::Unreachable,
     };
--- /dev/null
+++ b/src/sync.rs
@@ -0,0 +1,218 @@
+//! Exchange between the local state and the view of the fleet.
+
+use {
+    crate::{
+        config::{Config, Revision},
+        control::{confirm::Confirmations, reader::Members},
+        fleet::{
+            Fleet,
+            member::WorkerAd,
+            seeds::{SEED_INTERVAL_MS, Seeds},
+            udp::Gossip,
+        },
+        node::{Node, local_rules},
+        policy::{
+            drain::Stage,
+            suspect::{Death, Fingerprint, SuspectReport},
+        },
+        supervisor::TaskError,
+    },
+    async_io::Timer,
+    parking_lot::Mutex,
+    rand::RngExt,
+    smol_str::SmolStr,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Interval at which the fleet is told of the local worker.
+const PUBLISH_MS: u64 = 50;
+
+/// Interval at which newer configurations are looked for at other daemons.
+const CONFIG_MS: u64 = 250;
+
+/// Suspects in one digest.
+const DIGEST_DEATHS: usize = 5;
+
+/// Interval at which suspects are gossiped again, and taken from others.
+const SUSPECTS_MS: u64 = 500;
+
+/// The fleet, as configuration control sees it.
+pub struct View(pub Arc<Mutex<Fleet>>);
+
+impl Members for View {
+    fn members(&self) -> Vec<SmolStr> {
+        let fleet = self.0.lock();
+        let own = fleet.me().place.name.clone();
+        let live = fleet.members().filter(|member| member.status.is_live());
+        let mut names: Vec<_> = live.map(|member| member.place.name.clone()).collect();
+        if !names.contains(&own) {
+            names.push(own);
+        }
+        names
+    }
+}
+
+impl Confirmations for View {
+    fn lagging(&self, revision: Revision) -> Vec<SmolStr> {
+        let fleet = self.0.lock();
+        let own = fleet
+            .members()
+            .filter(|member| member.status.is_live() && member.revision < revision)
+            .map(|member| member.place.name.clone());
+        let others = fleet.remote().centres().iter();
+        let others = others
+            .filter(|(_, centre)| centre.revision_min < revision)
+            .map(|(data_centre, _)| data_centre.0.clone());
+        own.chain(others).collect()
+    }
+}
+
+/// What the fleet has been told.
+#[derive(Debug, Default)]
+struct Published {
+    revision: Revision,
+    suspects: SuspectReport,
+    suspects_us: u64,
+}
+
+/// Tells the fleet of the local worker, and takes what the fleet knows.
+pub async fn publish(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+    let mut published = Published::default();
+    loop {
+        Timer::after(Duration::from_millis(PUBLISH_MS)).await;
+        let config = node.config();
+        if config.revision != published.revision {
+            published.revision = config.revision;
+            node.adopt(&config);
+        }
+        node.publish_worker(&fleet, published.revision);
+        node.exchange_suspects(&fleet, &mut published);
+    }
+}
+
+/// Fetches configurations that other daemons enforce and this one does not yet.
+pub async fn follow(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+    loop {
+        Timer::after(Duration::from_millis(CONFIG_MS)).await;
+        let Some(peer) = newest(&fleet.lock(), node.config().revision) else {
+            continue;
+        };
+        match node.peers.config(peer).await {
+            Ok(document) => node.offer(&document, peer),
+            Err(error) => {
+                node.metrics.count("config.fetch_failed");
+                tracing::debug!(%error, "configuration not fetched");
+            }
+        }
+    }
+}
+
+/// Keeps first contacts in the store, and learns them from it.
+pub async fn seek(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+    let place = &node.settings.place;
+    let mut seeds = Seeds::new(place.data_centre.clone(), place.gossip_addr);
+    loop {
+        if let Ok(contacts) = seeds.contacts(node.store.as_ref()).await {
+            fleet.lock().join(&contacts);
+        }
+        let live = fleet.lock().live_members();
+        let draw = node.rng.lock().random();
+        if let Err(error) = seeds.visit(node.store.as_ref(), live, draw).await {
+            node.metrics.count("seeds.failed");
+            tracing::debug!(%error, "first contacts not kept");
+        }
+        Timer::after(Duration::from_millis(u64::from(SEED_INTERVAL_MS))).await;
+    }
+}
+
+/// Runs the gossip socket.
+pub async fn gossip(gossip: Gossip) -> Result<(), TaskError> {
+    gossip
+        .run()
+        .await
+        .map_err(|error| TaskError::new("gossip", &error))
+}
+
+/// A daemon that enforces the newest revision, if that is newer than `revision`.
+fn newest(fleet: &Fleet, revision: Revision) -> Option<SocketAddr> {
+    let live = fleet.members().filter(|member| member.status.is_live());
+    let newest = live.max_by_key(|member| member.revision)?;
+    (newest.revision > revision).then_some(newest.place.call_addr)
+}
+
+impl Node {
+    /// Puts a configuration to work that has come into force.
+    fn adopt(&self, config: &Config) {
+        let rules = local_rules(&self.settings, config);
+        let mut local = self.local.lock();
+        local.gate.set_rules(rules.gate);
+        for text in config.lifted.keys() {
+            if let Ok(fingerprint) = Fingerprint::try_from(text.as_str()) {
+                local.suspects.lift(fingerprint);
+            }
+        }
+        drop(local);
+        self.apply_orders();
+    }
+
+    /// Offers a configuration that a peer enforces.
+    fn offer(&self, document: &[u8], peer: SocketAddr) {
+        match Config::decode(document) {
+            Ok(config) => {
+                self.live.offer(&Arc::new(config));
+            }
+            Err(error) => {
+                self.metrics.count("config.unreadable");
+                tracing::warn!(%error, %peer, "configuration of a daemon not read");
+            }
+        }
+    }
+
+    fn publish_worker(&self, fleet: &Mutex<Fleet>, revision: Revision) {
+        let local = self.local.lock();
+        let worker = local.worker.as_ref().map(|worker| WorkerAd {
+            incarnation: worker.incarnation,
+            service: worker.announcement.service.clone(),
+            slots: worker.announcement.slots,
+            load: local.running.len().min(usize::from(u16::MAX)) as u16,
+            level: local.gate.level(),
+            draining: local.drain.stage() != Stage::Serving,
+        });
+        drop(local);
+        let mut fleet = fleet.lock();
+        fleet.set_worker(worker);
+        fleet.set_revision(revision);
+    }
+
+    /// Spreads what is new of suspects at once, and all of it in turn.
+    fn exchange_suspects(&self, fleet: &Mutex<Fleet>, published: &mut Published) {
+        let now = self.now();
+        let report = self.local.lock().suspects.report();
+        let is_due = now.us.saturating_sub(published.suspects_us) >= SUSPECTS_MS * 1_000;
+        if is_due {
+            published.suspects_us = now.us;
+            self.merge_suspects(fleet, now.unix_ms);
+        }
+        let is_new = report != published.suspects;
+        if !is_new && (!is_due || report.entries == 0) {
+            return;
+        }
+        published.suspects = report;
+        let digest = self.local.lock().suspects.digest(DIGEST_DEATHS);
+        let bytes = postcard::to_stdvec(&digest).unwrap_or_default();
+        fleet.lock().set_suspects(bytes);
+    }
+
+    fn merge_suspects(&self, fleet: &Mutex<Fleet>, now_unix_ms: u64) {
+        let deaths: Vec<Death> = fleet
+            .lock()
+            .members()
+            .filter(|member| !member.suspects.is_empty())
+            .filter_map(|member| postcard::from_bytes::<Vec<Death>>(&member.suspects).ok())
+            .flatten()
+            .collect();
+        let mut local = self.local.lock();
+        local.suspects.merge(deaths);
+        local.suspects.sweep(now_unix_ms);
+    }
+}
