--- a/src/policy/bind.rs
+++ b/src/policy/bind.rs
@@ -5,7 +5,10 @@
 //! binding is bound anew only when no earlier ticket of it can have been minted.
 
 use {
-    super::ticket::{Ticket, TicketError, fits},
+    super::{
+        ticket::{Ticket, TicketError, fits},
+        verdict::Denial,
+    },
     crate::{
         request::{Outcome, Reason, Refusal},
         store::{Entry, LeaseId, Store, StoreError, Swap, Version},
@@ -65,7 +68,7 @@
 /// What the caller says of its earlier attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Attempt {
-    /// It made none, or each was told not-run.
+    /// It made none under this key; once told not-run, it takes a new key.
     pub is_first: bool,
     /// Time of its first attempt on its own clock, if it tells.
     pub first_sent_unix_ms: Option<u64>,
@@ -80,6 +83,10 @@
     pub version: Version,
 }
 
+/// Version of a binding whose ticket certainly never runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spent(Version);
+
 /// Why a key could not be bound.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error, From)]
 pub enum BindError {
@@ -95,6 +102,12 @@
         /// Store key of the binding.
         key: SmolStr,
     },
+    /// The bound ticket may yet run, or have run.
+    #[display("bind: the bound ticket may run: {denial}")]
+    Unproven {
+        /// What its gate said.
+        denial: Denial,
+    },
     /// The store did not answer in time.
     #[display("{step}: no answer within {timeout_ms} ms")]
     Timeout {
@@ -163,6 +176,7 @@
             Self::Malformed => Reason::BadRequest,
             Self::Forgotten { .. } => Reason::TicketVoid,
             Self::Ticket(_) => Reason::Internal,
+            Self::Unproven { denial } => denial.reason(),
             Self::Rate | Self::Timeout { .. } | Self::Store(_) => Reason::StoreUnavailable,
         };
         let outcome = if attempt.is_first {
@@ -246,18 +260,17 @@
 
     /// Binds the key to `fresh` in place of a ticket that certainly never runs.
     ///
-    /// Allowed once its gate has said so, or once the caller of a first attempt may be told
-    /// not-run. Of all who try, one succeeds; the others get its ticket.
+    /// Of all who try, one succeeds; the others get its ticket.
     pub async fn rebind(
         &self,
         store: &dyn Store,
         key: &BindKey,
-        found: &Binding,
+        spent: Spent,
         fresh: &Ticket,
         now_us: u64,
         now_unix_ms: u64,
     ) -> Result<Binding, BindError> {
-        self.write(store, key, found.version, fresh, now_us, now_unix_ms)
+        self.write(store, key, spent.0, fresh, now_us, now_unix_ms)
             .await
     }
 
@@ -363,6 +376,15 @@
             version,
         }
     }
+
+    /// Takes the gate's word that the ticket never runs, and nothing less: that one send was not
+    /// run is no proof, as the caller may have sent the request again meanwhile.
+    pub fn spent(&self, denial: Denial) -> Result<Spent, BindError> {
+        match denial {
+            Denial::Never(_) => Ok(Spent(self.version)),
+            Denial::NotNow(_) | Denial::Maybe(_) => Err(BindError::Unproven { denial }),
+        }
+    }
 }
 
 impl TryFrom<&Entry> for Binding {
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -53,8 +53,8 @@
 
 /// What the caller is told.
 ///
-/// `first_attempt` is true if the caller says that it never sent the request before, or that each
-/// earlier attempt was told not-run. `sent` covers all sends of this attempt but an answered one.
+/// `first_attempt` is true if the caller says that it never sent the request under this ticket or
+/// key before. `sent` covers all sends of this attempt but the answered one.
 pub fn verdict(first_attempt: bool, sent: Sent, heard: Heard) -> Result<(), Refusal> {
     let alone = first_attempt && sent == Sent::Nothing;
     let (outcome, reason) = match heard {
