--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -66,8 +66,10 @@
     pub mark: Mark,
 }
 
-/// How a request may be run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+/// How a request may be run. Of an ingress's verdict and a gate's, the greater one holds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
 pub enum SuspectVerdict {
     /// Like any other.
     #[display("run")]
--- a/tests/once/main.rs
+++ b/tests/once/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `SEEDS=1000 cargo test --test once` runs more schedules of each kind.
 
+mod callers;
+mod gates;
 mod spec;
 mod store;
 mod world;
--- a/tests/once/world.rs
+++ b/tests/once/world.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        spec::{OnceSpec, Op, Told},
+        callers::caller,
+        gates::{Gate, PORT, limits},
+        spec::{OnceSpec, Op},
         store::{FakeStore, Weather},
     },
     futures::{pending, task::noop_waker},
@@ -10,13 +12,12 @@
     rand_chacha::ChaCha8Rng,
     shallotdeal::{
         policy::{
-            bind::{Attempt, BindKey, BindLimits, Binder},
-            once::{Admission, Fate, Once, OnceKey, OnceLimits},
-            suspect::Fingerprint,
+            bind::{BindLimits, Binder},
+            once::Once,
             ticket::Ticket,
-            verdict::{Denial, Heard, Sent, verdict},
+            verdict::Heard,
         },
-        request::{Incarnation, Outcome, Reason},
+        request::Incarnation,
     },
     std::{
         cell::{Cell, RefCell, RefMut},
@@ -30,11 +31,11 @@
 
 const ORDERS: u32 = 8;
 const GATES: usize = 3;
-const INGRESSES: usize = 3;
-const ATTEMPTS: u32 = 6;
-const LIFETIME_MS: u32 = 600;
-const SKEW_MS: u32 = 40;
-const EPOCH_MS: u64 = 1_000_000;
+pub(crate) const INGRESSES: usize = 3;
+pub(crate) const ATTEMPTS: u32 = 6;
+pub(crate) const LIFETIME_MS: u32 = 600;
+pub(crate) const SKEW_MS: u32 = 40;
+pub(crate) const EPOCH_MS: u64 = 1_000_000;
 const MAX_STEPS: u32 = 400_000;
 
 /// How callers name a request that they send again.
@@ -101,49 +102,36 @@
 }
 
 type Task = Pin<Box<dyn Future<Output = ()>>>;
-type Reply = Rc<Cell<Option<(Heard, u64)>>>;
-
-struct Gate {
-    once: Once<u64>,
-    incarnation: Incarnation,
-    /// Counts the daemon's lives.
-    life: u32,
-    /// Counts the backend server's lives.
-    backend_life: u32,
-    paused_until_ms: u64,
-    cut_until_ms: u64,
-    busy_until_ms: u64,
-    offset_ms: u64,
-}
-
-struct World {
-    rng: ChaCha8Rng,
-    now_ms: u64,
-    loss_until_ms: u64,
-    store_until_ms: u64,
-    gates: Vec<Gate>,
-    binders: Vec<Rc<Binder>>,
-    history: Vec<Vec<(usize, Action<Op>)>>,
-    processes: Vec<usize>,
-    runs: Vec<u32>,
-    spawned: Vec<Task>,
-    answers: u64,
-    tally: Tally,
+pub(crate) type Reply = Rc<Cell<Option<(Heard, u64)>>>;
+
+pub(crate) struct World {
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now_ms: u64,
+    pub(crate) loss_until_ms: u64,
+    pub(crate) store_until_ms: u64,
+    pub(crate) gates: Vec<Gate>,
+    pub(crate) binders: Vec<Rc<Binder>>,
+    pub(crate) history: Vec<Vec<(usize, Action<Op>)>>,
+    pub(crate) processes: Vec<usize>,
+    pub(crate) runs: Vec<u32>,
+    pub(crate) spawned: Vec<Task>,
+    pub(crate) answers: u64,
+    pub(crate) tally: Tally,
 }
 
 #[derive(Clone)]
-struct Shared {
-    world: Rc<RefCell<World>>,
-    store: Rc<FakeStore>,
+pub(crate) struct Shared {
+    pub(crate) world: Rc<RefCell<World>>,
+    pub(crate) store: Rc<FakeStore>,
 }
 
 #[derive(Clone)]
-struct Send {
-    order: u32,
-    attempt: u32,
-    ticket: Ticket,
+pub(crate) struct Message {
+    pub(crate) order: u32,
+    pub(crate) attempt: u32,
+    pub(crate) ticket: Ticket,
     /// The caller's own key.
-    name: String,
+    pub(crate) name: String,
 }
 
 /// Runs one schedule and checks the history of each order.
@@ -208,25 +196,25 @@
         }
     }
 
-    fn world(&self) -> RefMut<'_, World> {
+    pub(crate) fn world(&self) -> RefMut<'_, World> {
         self.world.borrow_mut()
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         self.world().now_ms
     }
 
     /// Reads one gate at the present time.
-    fn read<T>(&self, at: usize, read: impl Fn(&Gate, u64) -> T) -> T {
+    pub(crate) fn read<T>(&self, at: usize, read: impl Fn(&Gate, u64) -> T) -> T {
         let world = self.world();
         read(&world.gates[at], world.now_ms)
     }
 
-    fn draw(&self, below: u64) -> u64 {
+    pub(crate) fn draw(&self, below: u64) -> u64 {
         self.world().rng.random_range(0..below)
     }
 
-    async fn delay(&self, below: u64) {
+    pub(crate) async fn delay(&self, below: u64) {
         let until_ms = self.now_ms() + self.draw(below);
         while self.now_ms() < until_ms {
             pending!();
@@ -294,7 +282,7 @@
     }
 
     /// A message between daemons is lost.
-    fn loses(&self) -> bool {
+    pub(crate) fn loses(&self) -> bool {
         let is_lossy = {
             let world = self.world();
             world.now_ms < world.loss_until_ms
@@ -302,13 +290,13 @@
         is_lossy && self.draw(3) == 0
     }
 
-    fn mint(&self, order: u32) -> Ticket {
+    pub(crate) fn mint(&self, order: u32) -> Ticket {
         let mut world = self.world();
         let index = world.rng.random_range(0..GATES);
         let skew_ms = world.rng.random_range(0..u64::from(SKEW_MS));
         let now_unix_ms = EPOCH_MS + world.now_ms + skew_ms;
         let incarnation = world.gates[index].incarnation;
-        let addr = SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16));
+        let addr = SocketAddr::from(([127, 0, 0, 1], PORT + index as u16));
         let service = format!("orders-{order}").into();
         Ticket::mint(
             addr,
@@ -320,31 +308,31 @@
         )
     }
 
-    fn record(&self, order: u32, process: usize, action: Action<Op>) {
+    pub(crate) fn record(&self, order: u32, process: usize, action: Action<Op>) {
         self.world().history[order as usize].push((process, action));
     }
 
-    fn process(&self, order: u32) -> usize {
+    pub(crate) fn process(&self, order: u32) -> usize {
         let mut world = self.world();
         let process = &mut world.processes[order as usize];
         *process += 1;
         *process
     }
 
-    fn run(&self, send: &Send) -> u64 {
+    pub(crate) fn run(&self, message: &Message) -> u64 {
         let answer = {
             let mut world = self.world();
             world.answers += 1;
-            world.runs[send.order as usize] += 1;
+            world.runs[message.order as usize] += 1;
             world.answers
         };
-        let process = self.process(send.order);
+        let process = self.process(message.order);
         let op = Op::Run {
-            attempt: send.attempt,
+            attempt: message.attempt,
             answer,
         };
-        self.record(send.order, process, Action::Call(op));
-        self.record(send.order, process, Action::Response(op));
+        self.record(message.order, process, Action::Call(op));
+        self.record(message.order, process, Action::Response(op));
         answer
     }
 
@@ -365,315 +353,3 @@
         world.tally
     }
 }
-
-impl Gate {
-    fn new(rng: &mut ChaCha8Rng) -> Self {
-        Self {
-            once: Once::new(limits()),
-            incarnation: Incarnation(rng.random()),
-            life: 0,
-            backend_life: 0,
-            paused_until_ms: 0,
-            cut_until_ms: 0,
-            busy_until_ms: 0,
-            offset_ms: rng.random_range(0..u64::from(SKEW_MS)),
-        }
-    }
-}
-
-fn limits() -> OnceLimits {
-    OnceLimits {
-        max_entries: 5,
-        max_refused: 2,
-        max_answer_bytes: 40,
-        max_lifetime_ms: LIFETIME_MS,
-        max_skew_ms: SKEW_MS,
-    }
-}
-
-fn index(ticket: &Ticket) -> usize {
-    usize::from(ticket.call_addr.port() - 7_000)
-}
-
-/// Sends until it knows, or has tried often enough; takes a new ticket when told not-run.
-async fn caller(shared: Shared, naming: Naming, order: u32) {
-    shared.delay(100).await;
-    let mut first_sent_unix_ms = None;
-    let mut name = String::from("key/0");
-    let mut ticket = shared.mint(order);
-    let mut is_first = true;
-    let mut last = Told::NotRun;
-    for attempt in 1..=ATTEMPTS {
-        shared.world().tally.attempts += 1;
-        first_sent_unix_ms.get_or_insert(EPOCH_MS + shared.now_ms());
-        let names = Attempt {
-            is_first,
-            first_sent_unix_ms,
-        };
-        let send = Send {
-            order,
-            attempt,
-            ticket: ticket.clone(),
-            name: name.clone(),
-        };
-        last = ask(&shared, naming, names, send).await;
-        match last {
-            Told::Done(_) => break,
-            Told::NotRun => {
-                ticket = shared.mint(order);
-                name = format!("key/{attempt}");
-                first_sent_unix_ms = None;
-                is_first = true;
-            }
-            Told::Unknown | Told::Nothing => is_first = false,
-        }
-        shared.delay(1 << (attempt + 2)).await;
-    }
-    let mut world = shared.world();
-    let ran = world.runs[order as usize];
-    let is_known = is_first || matches!(last, Told::Done(_) | Told::NotRun);
-    let tally = &mut world.tally;
-    tally.orders += 1;
-    tally.done += u32::from(matches!(last, Told::Done(_)));
-    tally.not_run += u32::from(is_known && last == Told::NotRun);
-    tally.unknown += u32::from(!is_known);
-    tally.unknown_but_ran += u32::from(!is_known && ran > 0);
-}
-
-/// One attempt, as the caller sees it.
-async fn ask(shared: &Shared, naming: Naming, names: Attempt, send: Send) -> Told {
-    let process = shared.process(send.order);
-    let (order, attempt) = (send.order, send.attempt);
-    let op = |told| Op::Attempt { attempt, told };
-    shared.record(order, process, Action::Call(op(Told::Nothing)));
-    let reply: Rc<Cell<Option<Told>>> = Rc::default();
-    let task = {
-        let (shared, reply) = (shared.clone(), Rc::clone(&reply));
-        async move { reply.set(Some(ingress(&shared, naming, names, send).await)) }
-    };
-    shared.world().spawned.push(Box::pin(task));
-    let patience_ms = 10 + shared.draw(120);
-    let until_ms = shared.now_ms() + patience_ms;
-    while reply.get().is_none() && shared.now_ms() < until_ms {
-        pending!();
-    }
-    let told = reply.get().unwrap_or(Told::Nothing);
-    shared.record(order, process, Action::Response(op(told)));
-    told
-}
-
-async fn ingress(shared: &Shared, naming: Naming, names: Attempt, send: Send) -> Told {
-    match naming {
-        Naming::Ticket => judge(names, call(shared, &send).await),
-        Naming::Key => keyed(shared, names, send).await,
-    }
-}
-
-/// Binds the caller's key, and binds it anew if the bound ticket certainly never runs.
-async fn keyed(shared: &Shared, names: Attempt, mut send: Send) -> Told {
-    let at = shared.draw(INGRESSES as u64) as usize;
-    let binder = Rc::clone(&shared.world().binders[at]);
-    let service = send.ticket.service.clone();
-    let Ok(key) = BindKey::new(&service, &send.name) else {
-        return Told::Nothing;
-    };
-    let store = &*shared.store;
-    let now_ms = shared.now_ms();
-    let (now_us, now_unix_ms) = (now_ms * 1_000, EPOCH_MS + now_ms);
-    let fresh = Ticket {
-        minted_unix_ms: now_unix_ms,
-        expires_unix_ms: now_unix_ms + u64::from(LIFETIME_MS),
-        ..shared.mint(send.order)
-    };
-    let bound = binder
-        .bind(store, &key, &fresh, names, now_us, now_unix_ms)
-        .await;
-    let found = match bound {
-        Ok(found) => found,
-        Err(error) => return told(error.refusal(names, binder.limits()).outcome),
-    };
-    send.ticket = found.ticket.clone();
-    let heard = call(shared, &send).await;
-    let Heard::Denial(denial) = heard.0.0 else {
-        return judge(names, heard);
-    };
-    let Ok(spent) = found.spent(denial) else {
-        return judge(names, heard);
-    };
-    let now_ms = shared.now_ms();
-    let (now_us, now_unix_ms) = (now_ms * 1_000, EPOCH_MS + now_ms);
-    let fresh = Ticket {
-        minted_unix_ms: now_unix_ms,
-        expires_unix_ms: now_unix_ms + u64::from(LIFETIME_MS),
-        ..shared.mint(send.order)
-    };
-    match binder
-        .rebind(store, &key, spent, &fresh, now_us, now_unix_ms)
-        .await
-    {
-        Ok(bound) => send.ticket = bound.ticket,
-        Err(error) => return told(error.refusal(names, binder.limits()).outcome),
-    }
-    judge(names, call(shared, &send).await)
-}
-
-fn judge(names: Attempt, ((heard, answer), sent): ((Heard, u64), Sent)) -> Told {
-    match verdict(names.is_first, sent, heard) {
-        Ok(()) => Told::Done(answer),
-        Err(refusal) => told(refusal.outcome),
-    }
-}
-
-/// Sends to the ticket's gate, once more if there is no answer.
-async fn call(shared: &Shared, send: &Send) -> ((Heard, u64), Sent) {
-    let (first, sent) = deliver(shared, send).await;
-    if !matches!(first.0, Heard::Nothing(_)) {
-        return (first, sent);
-    }
-    let (second, sent_again) = deliver(shared, send).await;
-    match sent {
-        Sent::Nothing => (second, sent_again),
-        Sent::MayHave => (second, sent),
-    }
-}
-
-fn told(outcome: Outcome) -> Told {
-    match outcome {
-        Outcome::NotRun => Told::NotRun,
-        _ => Told::Unknown,
-    }
-}
-
-/// One send to a gate; tells what it may have left behind if it has no answer.
-async fn deliver(shared: &Shared, send: &Send) -> ((Heard, u64), Sent) {
-    let gate = index(&send.ticket);
-    let is_cut = || shared.read(gate, |gate, now_ms| now_ms < gate.cut_until_ms);
-    shared.delay(6).await;
-    if is_cut() {
-        return ((Heard::Nothing(Reason::Unreachable), 0), Sent::Nothing);
-    }
-    let broken = ((Heard::Nothing(Reason::Broken), 0), Sent::MayHave);
-    if shared.loses() {
-        return broken;
-    }
-    let life = shared.read(gate, |gate, _| gate.life);
-    let reply: Reply = Rc::default();
-    let task = serve(shared.clone(), send.clone(), Rc::clone(&reply));
-    shared.world().spawned.push(Box::pin(task));
-    loop {
-        pending!();
-        let is_dead = shared.read(gate, |gate, _| gate.life) != life;
-        if is_dead || is_cut() {
-            return broken;
-        }
-        if let Some(answer) = reply.get() {
-            let is_lost = shared.loses();
-            return if is_lost {
-                broken
-            } else {
-                (answer, Sent::Nothing)
-            };
-        }
-    }
-}
-
-/// The gate's side of one send.
-async fn serve(shared: Shared, send: Send, reply: Reply) {
-    let at = index(&send.ticket);
-    let life = shared.read(at, |gate, _| gate.life);
-    let is_alive = || shared.read(at, |gate, _| gate.life) == life;
-    rest(&shared, at).await;
-    if !is_alive() {
-        return;
-    }
-    let fingerprint = Fingerprint::new(&send.ticket.service, "POST", "/", b"flour");
-    let admission = {
-        let mut world = shared.world();
-        let now_ms = world.now_ms;
-        let gate = &mut world.gates[at];
-        let now_unix_ms = EPOCH_MS + gate.offset_ms + now_ms;
-        let local = gate.incarnation;
-        gate.once
-            .admit(&send.ticket, fingerprint, local, now_unix_ms)
-    };
-    let answer = match admission {
-        Admission::Run(key) => work(&shared, at, life, key, &send).await,
-        Admission::Join(key) => wait(&shared, at, life, key).await,
-        Admission::Replay(answer) => Some((Heard::Answer, *answer)),
-        Admission::Deny(denial) => Some((Heard::Denial(denial), 0)),
-    };
-    if let Some(answer) = answer {
-        rest(&shared, at).await;
-        reply.set(Some(answer));
-    }
-}
-
-/// A pause of the daemon, and some time on top.
-async fn rest(shared: &Shared, at: usize) {
-    shared.delay(10).await;
-    while shared.read(at, |gate, now_ms| now_ms < gate.paused_until_ms) {
-        pending!();
-    }
-}
-
-async fn work(
-    shared: &Shared,
-    at: usize,
-    life: u32,
-    key: OnceKey,
-    send: &Send,
-) -> Option<(Heard, u64)> {
-    let deny = |denial: Denial| Some((Heard::Denial(denial), 0));
-    rest(shared, at).await;
-    let backend_life = {
-        let mut world = shared.world();
-        let is_busy = world.now_ms < world.gates[at].busy_until_ms;
-        let is_shed = world.rng.random_ratio(if is_busy { 9 } else { 1 }, 12);
-        let gate = &mut world.gates[at];
-        if gate.life != life {
-            return None;
-        }
-        if is_shed || gate.incarnation != send.ticket.incarnation {
-            return deny(gate.once.refuse(key, Reason::Overload));
-        }
-        if !gate.once.start(key) {
-            return None;
-        }
-        gate.backend_life
-    };
-    shared.delay(20).await;
-    let has_died = shared.read(at, |gate, _| gate.backend_life) != backend_life;
-    let is_run = !has_died || shared.draw(2) == 0;
-    let answer = if is_run { shared.run(send) } else { 0 };
-    rest(shared, at).await;
-    let mut world = shared.world();
-    let gate = &mut world.gates[at];
-    if gate.life != life {
-        return None;
-    }
-    if gate.backend_life != backend_life {
-        return deny(gate.once.lose(key, Reason::Broken));
-    }
-    gate.once.finish(key, answer.into(), 10);
-    Some((Heard::Answer, answer))
-}
-
-async fn wait(shared: &Shared, at: usize, life: u32, key: OnceKey) -> Option<(Heard, u64)> {
-    loop {
-        pending!();
-        let world = shared.world();
-        let gate = &world.gates[at];
-        if gate.life != life {
-            return None;
-        }
-        let denial = match gate.once.fate(key) {
-            Some(Fate::Admitted | Fate::Started) => continue,
-            Some(Fate::Done(answer)) => return Some((Heard::Answer, **answer)),
-            Some(Fate::Refused(reason)) => Denial::Never(*reason),
-            Some(Fate::Ran) => Denial::Maybe(Reason::Broken),
-            Some(Fate::Lost(reason)) => Denial::Maybe(*reason),
-            None => Denial::NotNow(Reason::TicketVoid),
-        };
-        return Some((Heard::Denial(denial), 0));
-    }
-}
