Add membership, summaries between data centres, and routing

Daemons had no way to learn of each other. Membership runs as a state machine without I/O; datagrams are packed Cap'n Proto.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,16 @@
 pub mod clock;
 pub mod collections;
 pub mod config;
+pub mod fleet;
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::all,
+    clippy::pedantic,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod fleet_capnp;
 pub mod place;
 pub mod policy;
 pub mod request;
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,11 @@
+//! Membership inside one data centre under loss, delay, pauses, cuts and restarts.
+
+mod fleet_net;
+
+use fleet_net::centre;
+
+#[test]
+fn forty_daemons_find_each_other() {
+    let net = centre(1, 40);
+    assert!(net.agrees());
+}
