Add the operators' language

Cause: operators create, change, drain and question the system in texts. Change: lexer and grammar with winnow, an error that points at the word furthest in, an executor over traits for the view and the changes, tables and JSON, and a page whose examples a test runs.

--- /dev/null
+++ b/src/ask/fault.rs
@@ -0,0 +1,72 @@
+//! Errors that point at a word of an operator's text.
+
+use {
+    crate::ask::lexer::Span,
+    derive_more::Error,
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// An error at one word; the text changed nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize)]
+pub struct Fault {
+    /// Line of the word, from one.
+    pub line: usize,
+    /// Column of its first character, from one.
+    pub column: usize,
+    /// What is wrong.
+    pub message: SmolStr,
+    /// What could stand there.
+    pub expected: Vec<SmolStr>,
+    /// The line as written.
+    #[serde(skip)]
+    pub source_line: SmolStr,
+    /// Length of the word in characters.
+    #[serde(skip)]
+    pub width: usize,
+}
+
+impl Fault {
+    /// Error at `span` of `text`.
+    pub fn new(text: &str, span: Span, message: impl Into<SmolStr>) -> Self {
+        let before = &text[..span.start];
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        let source_line = text[line_start..].lines().next().unwrap_or_default();
+        Self {
+            line: before.matches('\n').count() + 1,
+            column: text[line_start..span.start].chars().count() + 1,
+            message: message.into(),
+            expected: Vec::new(),
+            source_line: SmolStr::new(source_line.replace('\t', " ")),
+            width: text[span.start..span.end].chars().count().max(1),
+        }
+    }
+
+    /// Adds what could stand there.
+    #[must_use]
+    pub fn expecting(mut self, expected: &[&'static str]) -> Self {
+        self.expected = expected.iter().copied().map(SmolStr::new_static).collect();
+        self
+    }
+}
+
+impl Display for Fault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "error: {}", self.message)?;
+        writeln!(formatter, " --> line {}, column {}", self.line, self.column)?;
+        writeln!(formatter, "  | {}", self.source_line)?;
+        let indent = self.column - 1;
+        write!(
+            formatter,
+            "  | {:indent$}{:^<width$}",
+            "",
+            "",
+            width = self.width
+        )?;
+        if self.expected.is_empty() {
+            return Ok(());
+        }
+        write!(formatter, "\nexpected {}", self.expected.join(" or "))
+    }
+}
--- /dev/null
+++ b/src/ask/route.rs
@@ -0,0 +1,72 @@
+//! The operators' HTTP port.
+
+use {
+    crate::{
+        ask::{answer::Verdict, executor::Executor, render},
+        config::is_name,
+    },
+    http_types::headers::{ACCEPT, AUTHORIZATION},
+    rand::random,
+    smol_str::{SmolStr, format_smolstr},
+    std::sync::Arc,
+    tide::{Request, Response, Server, StatusCode},
+};
+
+/// Path that takes an operator's text.
+pub const ASK_PATH: &str = "/ask";
+/// Header with an identity for the change, so that it can be sent again without being made twice.
+pub const CHANGE_ID_HEADER: &str = "Change-Id";
+/// Media type of answers for programs.
+pub const JSON: &str = "application/json";
+
+const BEARER: &str = "Bearer ";
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// Server of the operators' port; a supervisor binds it to an address.
+pub fn app(executor: Arc<Executor>) -> Server<Arc<Executor>> {
+    let mut app = tide::with_state(executor);
+    app.at(ASK_PATH).post(ask);
+    app
+}
+
+/// Identity for a change.
+pub fn new_change_id() -> SmolStr {
+    format_smolstr!("{:016x}", random::<u64>())
+}
+
+async fn ask(mut request: Request<Arc<Executor>>) -> tide::Result {
+    let text = request.body_string().await?;
+    let token = header(&request, AUTHORIZATION.as_str()).unwrap_or_default();
+    let token = token.strip_prefix(BEARER).unwrap_or_default();
+    let change_id = header(&request, CHANGE_ID_HEADER)
+        .filter(|id| is_name(id))
+        .map_or_else(new_change_id, SmolStr::new);
+    let verdict = request.state().ask(token, &text, change_id).await;
+    let as_json = header(&request, ACCEPT.as_str()).is_some_and(|accept| accept.contains(JSON));
+    Ok(respond(&verdict, as_json))
+}
+
+fn header<'r>(request: &'r Request<Arc<Executor>>, name: &str) -> Option<&'r str> {
+    request.header(name).map(|values| values.as_str())
+}
+
+fn respond(verdict: &Verdict, as_json: bool) -> Response {
+    let (body, media_type) = if as_json {
+        (render::json(verdict), JSON)
+    } else {
+        (render::text(verdict), TEXT)
+    };
+    Response::builder(status(verdict))
+        .body(body)
+        .content_type(media_type)
+        .build()
+}
+
+fn status(verdict: &Verdict) -> StatusCode {
+    match verdict {
+        Verdict::Answers(_) | Verdict::Changed(_) => StatusCode::Ok,
+        Verdict::Faulty(_) => StatusCode::UnprocessableEntity,
+        Verdict::NotChanged(_) => StatusCode::Conflict,
+        Verdict::Forbidden => StatusCode::Forbidden,
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 
 pub use {
     builtin::DEFAULT_CLASS,
-    check::{MAX_NAME_BYTES, MAX_TEXT_BYTES},
+    check::{MAX_NAME_BYTES, MAX_TEXT_BYTES, is_name},
     codec::{CONFIG_KEY, DecodeError, MAX_CONFIG_BYTES},
     edit::{ClassEdit, Edit, EditCause, EditError, Proposal, RulesEdit, ServiceEdit},
 };
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -19,12 +19,16 @@
 const MAX_RETRY_ALLOWANCE: u8 = 16;
 const MAX_PERCENT: u8 = 100;
 
-pub(super) fn name(name: &str) -> Result<SmolStr, EditCause> {
+/// Whether a text may name a service, class, worker, data centre or fingerprint.
+pub fn is_name(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed) {
-        return Ok(SmolStr::new(name));
-    }
-    Err(EditCause::Name)
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
+}
+
+pub(super) fn name(name: &str) -> Result<SmolStr, EditCause> {
+    is_name(name)
+        .then(|| SmolStr::new(name))
+        .ok_or(EditCause::Name)
 }
 
 pub(super) fn vm(ip: &str) -> Result<SmolStr, EditCause> {
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -61,6 +61,12 @@
     /// The store holds something that is no configuration; nothing was changed.
     #[display("nothing was changed: {_0}")]
     Unreadable(#[error(source)] DecodeError),
+    /// A change with another text has this identity; nothing was changed.
+    #[display("the identity {id} belongs to another change")]
+    Reused {
+        /// Identity of both changes.
+        id: SmolStr,
+    },
     /// The answer to the write was lost and the store could not be read since.
     #[display("change {id} may take effect; look for it in the history")]
     Unresolved {
@@ -142,8 +148,8 @@
             Err(error) => return Step::Done(Err(CommitError::Unreadable(error))),
         };
         let base = self.base(stored);
-        if base.change(&self.proposal.id).is_some() {
-            return Step::Done(Ok(base));
+        if let Some(change) = base.change(&self.proposal.id) {
+            return Step::Done(self.repeated(change, &base));
         }
         if self
             .proposal
@@ -165,6 +171,15 @@
             .map_or_else(|| Arc::clone(&self.local), Arc::new)
     }
 
+    /// Outcome of a change whose identity is in the history before its first write.
+    fn repeated(&self, change: &Change, base: &Arc<Config>) -> Result<Arc<Config>, CommitError> {
+        if change.text == self.proposal.text {
+            return Ok(Arc::clone(base));
+        }
+        let id = change.id.clone();
+        Err(CommitError::Reused { id })
+    }
+
     fn write(&mut self, expected: Version, config: Arc<Config>, now_us: u64) -> Step {
         let written = Written {
             expected,
--- /dev/null
+++ b/tests/ask_grammar.rs
@@ -0,0 +1,185 @@
+//! Parse results and errors of the operators' language.
+
+use shallotdeal::{
+    ask::{
+        grammar::parse,
+        statement::{Filter, Question, Script},
+    },
+    config::{Edit, Revision},
+};
+
+fn edits(text: &str) -> Vec<Edit> {
+    match parse(text) {
+        Ok(Script::Change { edits, .. }) => edits.into_iter().map(|edit| edit.edit).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn fault(text: &str) -> String {
+    parse(text).expect_err("the text is at fault").to_string()
+}
+
+#[test]
+fn reads_each_change() {
+    let text =
+        "create service a timeout 2s retry-ratio 10%; change class read importance 5 idempotent
+        set recovery-weight 70%  # lean towards recovery
+        stop vm 10.0.0.7; undrain data-centre graz; lift quarantine 3f2a";
+    insta::assert_debug_snapshot!(edits(text), @r#"
+[
+    CreateService(
+        "a",
+        ServiceEdit {
+            retry_ratio_percent: Some(
+                10,
+            ),
+            timeout_ms: Some(
+                2000,
+            ),
+        },
+    ),
+    ChangeClass(
+        "read",
+        ClassEdit {
+            importance: Some(
+                Importance(
+                    5,
+                ),
+            ),
+            retry_allowance: None,
+            idempotent: Some(
+                true,
+            ),
+            deadline_ms: None,
+        },
+    ),
+    Set(
+        RulesEdit {
+            stop_limit_ms: None,
+            recovery_weight_percent: Some(
+                70,
+            ),
+            unlisted_services: None,
+        },
+    ),
+    Order(
+        DrainOrder {
+            target: Vm(
+                "10.0.0.7",
+            ),
+            stop: true,
+        },
+    ),
+    Undrain(
+        DataCentre(
+            "graz",
+        ),
+    ),
+    Lift(
+        "3f2a",
+    ),
+]
+"#);
+}
+
+#[test]
+fn reads_guards_and_questions() {
+    let Ok(Script::Change { if_revision, edits }) = parse("if revision 12; drop class x") else {
+        panic!("a change");
+    };
+    assert_eq!((if_revision, edits.len()), (Some(Revision(12)), 1));
+    let questions = vec![
+        Question::History { last: 3 },
+        Question::Enforced(Filter::Worker("w".into())),
+    ];
+    let text = "show history last 3\n\nshow enforced worker w";
+    assert_eq!(parse(text), Ok(Script::Questions(questions)));
+}
+
+#[test]
+fn an_error_points_at_the_word_furthest_in() {
+    insta::assert_snapshot!(fault("create service a timeout 2x"), @r"
+error: `2x` cannot stand here
+ --> line 1, column 26
+  | create service a timeout 2x
+  |                          ^^
+expected a duration such as 500ms, 2s or 1m
+");
+    insta::assert_snapshot!(fault("create queue a"), @r"
+error: `queue` cannot stand here
+ --> line 1, column 8
+  | create queue a
+  |        ^^^^^
+expected service or class
+");
+    insta::assert_snapshot!(fault("set stop-limit 2s\n\tdrain wörker w; stop vm x"), @r"
+error: `wörker` cannot stand here
+ --> line 2, column 8
+  |  drain wörker w; stop vm x
+  |        ^^^^^^
+expected worker or vm or data-centre
+");
+    insta::assert_snapshot!(fault("stop vm 10.0.0.300"), @r"
+error: `10.0.0.300` cannot stand here
+ --> line 1, column 9
+  | stop vm 10.0.0.300
+  |         ^^^^^^^^^^
+expected an IP number
+");
+    insta::assert_snapshot!(fault("change service a  # nothing given"), @r"
+error: the statement is incomplete
+ --> line 1, column 17
+  | change service a  # nothing given
+  |                 ^
+expected timeout or retry-ratio
+");
+    insta::assert_snapshot!(fault("create class a retries 1 retries 2"), @r"
+error: `retries` cannot stand here
+ --> line 1, column 26
+  | create class a retries 1 retries 2
+  |                          ^^^^^^^
+expected an option that is not given yet
+");
+    insta::assert_snapshot!(fault("show history last 3 days"), @r"
+error: `days` cannot stand here
+ --> line 1, column 21
+  | show history last 3 days
+  |                     ^^^^
+expected the end of the statement
+");
+    insta::assert_snapshot!(fault("delete service a"), @r"
+error: `delete` cannot stand here
+ --> line 1, column 1
+  | delete service a
+  | ^^^^^^
+expected if or create or change or drop or set or drain or stop or undrain or lift or show or explain
+");
+}
+
+#[test]
+fn a_text_is_one_change_or_questions() {
+    insta::assert_snapshot!(fault("drop service a; show rules"), @r"
+error: a text holds either questions or changes
+ --> line 1, column 17
+  | drop service a; show rules
+  |                 ^^^^
+");
+    insta::assert_snapshot!(fault("drop service a; if revision 3"), @r"
+error: `if revision` stands first
+ --> line 1, column 17
+  | drop service a; if revision 3
+  |                 ^^
+");
+    insta::assert_snapshot!(fault("if revision 3"), @r"
+error: no change follows
+ --> line 1, column 14
+  | if revision 3
+  |              ^
+");
+    insta::assert_snapshot!(fault("# nothing\n ; \n"), @r"
+error: the text holds no statement
+ --> line 1, column 1
+  | # nothing
+  | ^
+");
+}
