--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,7 @@
 //! One daemon runs beside each backend server. Decisions are state machines in [`policy`] that do
 //! no I/O and take the present time as an argument; sockets, timers and tasks live around them.
 
-pub mod announce;
-pub mod backend;
-pub mod call;
-#[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub, unused_qualifications)]
-#[rustfmt::skip]
-pub mod call_capnp;
+pub mod ask;
 pub mod clock;
 pub mod cmd;
 pub mod collections;
