--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod backend;
 pub mod caller;
 pub mod client;
+pub mod forward;
 pub mod load;
+pub mod network;
+pub mod process;
 pub mod record;
 pub mod report;
 pub mod scenario;
--- a/lab/src/wire.rs
+++ b/lab/src/wire.rs
@@ -3,7 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
-    std::net::SocketAddr,
+    std::{fmt::Write, net::SocketAddr},
 };
 
 /// Identity of a client request, 32 hex digits.
@@ -82,3 +82,66 @@
     #[serde(default)]
     pub stop: bool,
 }
+
+/// Settings of one daemon.
+#[derive(Debug, Clone)]
+pub struct DaemonSettings {
+    /// Name of the daemon.
+    pub name: SmolStr,
+    /// Region that it stands in.
+    pub region: SmolStr,
+    /// Data centre that it stands in.
+    pub data_centre: SmolStr,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it takes calls of other daemons.
+    pub calls: SocketAddr,
+    /// Where it gossips.
+    pub gossip: SocketAddr,
+    /// Where it takes operators.
+    pub operators: SocketAddr,
+    /// Where it takes its backend server's announcements.
+    pub worker: SocketAddr,
+    /// Where others reach its calls and gossip, if forwarders stand in front.
+    pub advertised: Option<(SocketAddr, SocketAddr)>,
+    /// Gossip addresses of first contacts.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the store; each daemon keeps its own in memory if none.
+    pub store: Option<SocketAddr>,
+    /// Whether the daemon runs without the policy, as a comparison.
+    pub baseline: bool,
+}
+
+impl DaemonSettings {
+    /// Text of the daemon's settings file.
+    pub fn ini(&self) -> String {
+        let mut ini = String::new();
+        self.write(&mut ini).ok();
+        ini
+    }
+
+    fn write(&self, ini: &mut String) -> std::fmt::Result {
+        writeln!(ini, "[daemon]\nname = {}", self.name)?;
+        writeln!(ini, "region = {}", self.region)?;
+        writeln!(ini, "data-centre = {}", self.data_centre)?;
+        writeln!(ini, "listen-callers = {}", self.callers)?;
+        writeln!(ini, "listen-calls = {}", self.calls)?;
+        writeln!(ini, "listen-gossip = {}", self.gossip)?;
+        writeln!(ini, "listen-operators = {}", self.operators)?;
+        writeln!(ini, "listen-worker = {}", self.worker)?;
+        if let Some((calls, gossip)) = self.advertised {
+            writeln!(ini, "advertise-calls = {calls}")?;
+            writeln!(ini, "advertise-gossip = {gossip}")?;
+        }
+        let seeds: Vec<_> = self.seeds.iter().map(SocketAddr::to_string).collect();
+        writeln!(ini, "seeds = {}", seeds.join(", "))?;
+        match self.store {
+            Some(address) => writeln!(ini, "[store]\nkind = http\naddress = {address}")?,
+            None => writeln!(ini, "[store]\nkind = memory")?,
+        }
+        if self.baseline {
+            writeln!(ini, "[policy]\nkind = baseline")?;
+        }
+        writeln!(ini, "[log]\nlevel = info\nformat = human")
+    }
+}
