--- /dev/null
+++ b/lab/src/judge/outcome.rs
@@ -0,0 +1,134 @@
+//! What callers were told, against what ran.
+
+use {
+    crate::{
+        history::{History, Run},
+        judge::{Finding, example},
+        record::{End, RequestRecord, Verdict},
+    },
+    smol_str::format_smolstr,
+};
+
+/// Time after which a leaving worker receives no new work.
+const LEAVE_LIMIT_US: u64 = 3_000_000;
+
+/// A caller told `not-run` finds no run of that send.
+///
+/// For an order no send may have run before; a read is looked at until its first send whose fate
+/// the caller does not know.
+pub(super) fn false_not_run(history: &History) -> Finding {
+    let mut finding = Finding::new("what a caller was told did not run, did not run");
+    let runs = history.runs_by_request();
+    for request in &history.requests {
+        let roots: Vec<&Run> = runs
+            .get(request.request.as_str())
+            .into_iter()
+            .flatten()
+            .filter(|run| run.start.node.is_empty())
+            .copied()
+            .collect();
+        let idempotent = history
+            .scenario
+            .class(&request.class)
+            .is_none_or(|class| class.idempotent);
+        for (position, send) in request.sends.iter().enumerate() {
+            if idempotent && send.verdict != Verdict::NotRun {
+                break;
+            }
+            if send.verdict == Verdict::NotRun {
+                let next_us = next_send_us(request, position);
+                let ran = roots.iter().any(|run| run.start.at_us < next_us);
+                finding.check(!ran, || {
+                    let detail = format_smolstr!("send {} was told not-run", position + 1);
+                    example(&request.request, &detail)
+                });
+            }
+        }
+    }
+    finding
+}
+
+/// No answer reaches a caller cut or garbled.
+pub(super) fn whole_answers(history: &History) -> Finding {
+    each_send(history, "each answer is whole", Verdict::NotWhole)
+}
+
+/// No answer reaches another caller.
+pub(super) fn own_answers(history: &History) -> Finding {
+    each_send(
+        history,
+        "each answer belongs to its request",
+        Verdict::NotOwn,
+    )
+}
+
+/// No run begins at a worker long after it was told to leave.
+pub(super) fn late_work(history: &History) -> Finding {
+    let mut finding = Finding::new("a leaving worker gets no new work after 3 s");
+    for departure in &history.departures {
+        let late: Vec<_> = history
+            .runs
+            .iter()
+            .filter(|run| run.start.worker == departure.worker)
+            .filter(|run| run.start.at_us > departure.at_us + LEAVE_LIMIT_US)
+            .collect();
+        finding.check(late.is_empty(), || {
+            example(
+                &departure.worker,
+                &format_smolstr!("{} late runs", late.len()),
+            )
+        });
+    }
+    finding
+}
+
+/// No run at a leaving worker ends without an answer, unless its caller gave up.
+pub(super) fn cut_by_drain(history: &History) -> Finding {
+    let mut finding = Finding::new("a planned stop cuts off no request in flight");
+    for departure in &history.departures {
+        let own = history
+            .runs
+            .iter()
+            .filter(|run| run.start.worker == departure.worker);
+        for run in own {
+            let in_flight = run
+                .end
+                .as_ref()
+                .is_none_or(|end| end.at_us > departure.at_us);
+            if in_flight {
+                let cut = run.end.is_none() || run.ended() == Some(End::Cancelled);
+                let gave_up = request_of(history, run).is_none_or(|request| !request.good);
+                finding.check(!cut || (gave_up && run.end.is_some()), || {
+                    example(&run.start.request, &departure.worker)
+                });
+            }
+        }
+    }
+    finding
+}
+
+fn each_send(history: &History, promise: &str, fault: Verdict) -> Finding {
+    let mut finding = Finding::new(promise);
+    for request in &history.requests {
+        for (position, send) in request.sends.iter().enumerate() {
+            finding.check(send.verdict != fault, || {
+                example(&request.request, &format_smolstr!("send {}", position + 1))
+            });
+        }
+    }
+    finding
+}
+
+fn next_send_us(request: &RequestRecord, position: usize) -> u64 {
+    request
+        .sends
+        .get(position + 1)
+        .map_or(u64::MAX, |next| next.sent_us)
+}
+
+fn request_of<'a>(history: &'a History, run: &Run) -> Option<&'a RequestRecord> {
+    history
+        .requests
+        .iter()
+        .find(|request| request.request == run.start.request)
+}
--- a/src/store.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,11 @@
 //! Compare-and-swap, leases and watches; everything else is left to adapters. A write whose answer
 //! is lost yields [`StoreError::Uncertain`]: it may have taken effect.
 
+pub mod http;
+pub mod memory;
+pub mod table;
+pub mod wire;
+
 use {
     async_trait::async_trait,
     derive_more::{Display, Error},
@@ -10,7 +15,9 @@
 };
 
 /// Version of one key; grows with each write to it. Zero means that the key does not exist.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Display)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Display
+)]
 pub struct Version(pub u64);
 
 impl Version {
