Add rounds, the timeline of faults, the promises' checks and lab run

Policies need to be compared on whole runs of real processes, with the promises checked from what callers were told against what ran.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -41,6 +41,8 @@
     pub body: &'static str,
     /// Whether a ticket is asked for when the class is not idempotent.
     pub tickets: bool,
+    /// Position of the caller among those of its load.
+    pub source: usize,
     /// Daemons in the order in which they are tried; resends go round.
     pub daemons: Vec<usize>,
 }
--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -1,8 +1,9 @@
 //! Small HTTP/1.1 client with a pool of connections to one address.
 
 use {
+    async_io::Async,
     async_std::{
-        future,
+        future, io,
         net::{SocketAddr, TcpStream},
         task::{Context, Poll},
     },
@@ -11,7 +12,8 @@
     http_types::{Method, Request, Response, Url},
     parking_lot::Mutex,
     smol_str::{SmolStr, ToSmolStr},
-    std::{pin::pin, time::Duration},
+    socket2::{Domain, Socket, Type},
+    std::{net::Ipv4Addr, pin::pin, time::Duration},
 };
 
 /// Connections kept for reuse.
@@ -70,6 +72,7 @@
 #[derive(Debug)]
 pub struct Client {
     peer: SocketAddr,
+    source: Option<Ipv4Addr>,
     idle: Mutex<Vec<TcpStream>>,
 }
 
@@ -78,10 +81,18 @@
     pub fn new(peer: SocketAddr) -> Self {
         Self {
             peer,
+            source: None,
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Connects from this IP number, by which the other side knows the caller.
+    #[must_use]
+    pub fn from_source(mut self, source: Ipv4Addr) -> Self {
+        self.source = Some(source);
+        self
+    }
+
     /// Address of the other side.
     pub fn peer(&self) -> SocketAddr {
         self.peer
@@ -153,12 +164,14 @@
     }
 
     async fn connect(&self) -> Result<TcpStream, ClientError> {
-        let stream = TcpStream::connect(self.peer)
-            .await
-            .map_err(|error| ClientError::Connect {
-                peer: self.peer,
-                detail: error.to_smolstr(),
-            })?;
+        let connected = match self.source {
+            Some(source) => connect_from(source, self.peer).await,
+            None => TcpStream::connect(self.peer).await,
+        };
+        let stream = connected.map_err(|error| ClientError::Connect {
+            peer: self.peer,
+            detail: error.to_smolstr(),
+        })?;
         stream.set_nodelay(true).ok();
         Ok(stream)
     }
@@ -184,3 +197,18 @@
     let mut peek = pin!(stream.peek(&mut byte));
     poll_fn(|context: &mut Context<'_>| Poll::Ready(peek.poll_unpin(context).is_pending())).await
 }
+
+async fn connect_from(source: Ipv4Addr, peer: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::from((source, 0)).into())?;
+    // The connection is under way when the call returns an error; the wait below tells its fate.
+    let _ = socket.connect(&peer.into());
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    if let Some(error) = stream.get_ref().take_error()? {
+        return Err(error);
+    }
+    stream.get_ref().peer_addr()?;
+    Ok(stream.into_inner()?.into())
+}
--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod call;
+mod run;
 
 use {
     std::{net::SocketAddr, path::PathBuf, process::ExitCode},
@@ -43,6 +44,25 @@
             /// Print each request as one line of JSON.
             optional --records
         }
+        /// Runs a scenario with real daemons, under the policy and under the baseline.
+        cmd run {
+            /// Scenario file.
+            required file: PathBuf
+            /// Binary of the daemon; beside this one by default.
+            optional --daemon file: PathBuf
+            /// Rounds of each policy, in alternating order.
+            optional --rounds count: u32
+            /// Leave out the baseline.
+            optional --no-baseline
+            /// Let each daemon keep its own store in memory.
+            optional --memory
+            /// Second part of the IP numbers that are used, and the next one.
+            optional --net number: u8
+            /// Keep the daemons' settings and logs.
+            optional --keep-logs
+            /// Print JSON.
+            optional --json
+        }
     }
 }
 
@@ -52,6 +72,7 @@
     let result = match flags.subcommand {
         LabCmd::Backend(flags) => backend::run(flags),
         LabCmd::Call(flags) => call::run(&flags),
+        LabCmd::Run(flags) => run::run(&flags),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/lab/src/cmd/call.rs
+++ b/lab/src/cmd/call.rs
@@ -3,7 +3,8 @@
 use {
     crate::cmd::Call,
     async_std::task,
-    lab::{client::Client, load::Callers, report::Tally, scenario::Scenario},
+    lab::{load::Callers, report::Tally, scenario::Scenario},
+    smol_str::SmolStr,
     std::{error::Error, sync::Arc, time::Duration},
 };
 
@@ -14,9 +15,9 @@
 pub(super) fn run(flags: &Call) -> Result<(), Box<dyn Error>> {
     let scenario = Arc::new(Scenario::read(&flags.scenario)?);
     let (sender, receiver) = async_channel::unbounded();
-    let clients = flags.daemon.iter().copied().map(Client::new).collect();
-    let places = vec![String::new(); flags.daemon.len()];
-    let callers = Callers::new(scenario.clone(), clients, places, !flags.no_tickets, sender);
+    let places = vec![SmolStr::default(); flags.daemon.len()];
+    let tickets = !flags.no_tickets;
+    let callers = Callers::new(scenario.clone(), &flags.daemon, places, tickets, sender);
     let manners = callers.manners();
     for (position, load) in scenario.loads.iter().enumerate() {
         if flags.load.as_ref().is_none_or(|only| load.name == only) {
--- /dev/null
+++ b/lab/src/cmd/run.rs
@@ -0,0 +1,91 @@
+//! `lab run`.
+
+use {
+    crate::cmd::Run,
+    async_std::task,
+    lab::{
+        round::{self, Policy, RoundSettings},
+        scenario::Scenario,
+        summary::Summary,
+    },
+    std::{
+        env,
+        error::Error,
+        fs, io,
+        path::{Path, PathBuf},
+        process,
+        sync::Arc,
+    },
+};
+
+const DEFAULT_NET: u8 = 1;
+
+/// Runs a scenario under the policy and under the baseline, in alternating order.
+pub(super) fn run(flags: &Run) -> Result<(), Box<dyn Error>> {
+    let scenario = Arc::new(Scenario::read(&flags.file)?);
+    let directory = env::temp_dir().join(format!("lab-{}", process::id()));
+    fs::create_dir_all(&directory)?;
+    let summaries = rounds(flags, &scenario, &directory);
+    if flags.keep_logs {
+        eprintln!("lab: logs are in {}", directory.display());
+    } else {
+        fs::remove_dir_all(&directory).ok();
+    }
+    let summaries = summaries?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&summaries)?);
+        return Ok(());
+    }
+    println!("{}", scenario.name);
+    for summary in &summaries {
+        println!("\n{}", summary.text());
+    }
+    Ok(())
+}
+
+fn rounds(
+    flags: &Run,
+    scenario: &Arc<Scenario>,
+    directory: &Path,
+) -> Result<Vec<Summary>, Box<dyn Error>> {
+    let mut summaries = Vec::new();
+    for number in 0..flags.rounds.unwrap_or(1) {
+        for policy in order(number, flags.no_baseline) {
+            eprintln!("lab: round {}, {policy}", number + 1);
+            let directory = directory.join(format!("{}-{policy}", number + 1));
+            fs::create_dir_all(&directory)?;
+            let settings = RoundSettings {
+                file: fs::canonicalize(&flags.file)?,
+                daemon: daemon(flags)?,
+                lab: env::current_exe()?,
+                directory,
+                net: flags.net.unwrap_or(DEFAULT_NET),
+                policy,
+                store: !flags.memory,
+            };
+            let outcome = task::block_on(round::run(scenario, settings))?;
+            summaries.push(Summary::new(policy, &outcome));
+        }
+    }
+    Ok(summaries)
+}
+
+/// Which policy goes first changes from round to round.
+fn order(number: u32, no_baseline: bool) -> Vec<Policy> {
+    match (no_baseline, number % 2) {
+        (true, _) => vec![Policy::Shallotdeal],
+        (false, 0) => vec![Policy::Shallotdeal, Policy::Baseline],
+        (false, _) => vec![Policy::Baseline, Policy::Shallotdeal],
+    }
+}
+
+/// The daemon's binary: as given, or beside the lab's own.
+fn daemon(flags: &Run) -> io::Result<PathBuf> {
+    let beside = || {
+        let own = env::current_exe()?;
+        Ok::<_, io::Error>(own.with_file_name("shallotdeal"))
+    };
+    let path = flags.daemon.clone().map_or_else(beside, Ok)?;
+    fs::canonicalize(&path)
+        .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,5 +15,7 @@
 pub mod process;
 pub mod record;
 pub mod report;
+pub mod round;
 pub mod scenario;
+pub mod summary;
 pub mod wire;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -13,7 +13,9 @@
     parking_lot::Mutex,
     rand::{Rng, RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
+    smol_str::SmolStr,
     std::{
+        net::{Ipv4Addr, SocketAddr},
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -25,6 +27,11 @@
 /// Requests of one load under way at once; arrivals beyond it wait and still count as offered.
 const IN_FLIGHT_LIMIT: u32 = 20_000;
 
+/// Callers of one load, each with an IP number of its own.
+const SOURCES_PER_LOAD: usize = 4;
+/// Second part of the callers' IP numbers.
+const SOURCE_NET: u8 = 9;
+
 /// What faults change about the callers while they run.
 #[derive(Debug)]
 pub struct Manners {
@@ -37,8 +44,8 @@
 /// Callers of a scenario.
 pub struct Callers {
     scenario: Arc<Scenario>,
-    clients: Arc<Vec<Client>>,
-    places: Vec<String>,
+    clients: Vec<Arc<Vec<Client>>>,
+    places: Vec<SmolStr>,
     tickets: bool,
     manners: Arc<Manners>,
     records: Sender<RequestRecord>,
@@ -93,16 +100,19 @@
     /// Creates callers of daemons at these addresses; `places` are their data centres.
     pub fn new(
         scenario: Arc<Scenario>,
-        clients: Vec<Client>,
-        places: Vec<String>,
+        daemons: &[SocketAddr],
+        places: Vec<SmolStr>,
         tickets: bool,
         records: Sender<RequestRecord>,
     ) -> Arc<Self> {
+        let clients = (0..scenario.loads.len() * SOURCES_PER_LOAD)
+            .map(|source| Arc::new(clients_of(source, daemons)))
+            .collect();
         let poison_rng = Mutex::new(ChaCha8Rng::seed_from_u64(!scenario.seed));
         Arc::new(Self {
             manners: Arc::new(Manners::new(scenario.loads.len())),
             scenario,
-            clients: Arc::new(clients),
+            clients,
             places,
             tickets,
             records,
@@ -158,23 +168,24 @@
             resend: self.manners.resend(spec.resend),
             body: "{}",
             tickets: self.tickets,
+            source: rng.random_range(0..SOURCES_PER_LOAD),
             daemons: self.daemons(&spec.from, rng),
         })
     }
 
     /// All daemons in random order, those of the caller's data centre first.
-    fn daemons(&self, from: &[smol_str::SmolStr], rng: &mut ChaCha8Rng) -> Vec<usize> {
-        let mut daemons: Vec<usize> = (0..self.clients.len()).collect();
+    fn daemons(&self, from: &[SmolStr], rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let mut daemons: Vec<usize> = (0..self.places.len()).collect();
         daemons.shuffle(rng);
         let pick = rng.random_range(0..from.len().max(1));
         if let Some(home) = from.get(pick) {
-            daemons.sort_by_key(|daemon| self.places[*daemon] != home.as_str());
+            daemons.sort_by_key(|daemon| self.places[*daemon] != *home);
         }
         daemons
     }
 
     fn send_off(&self, errand: Errand) {
-        let clients = self.clients.clone();
+        let clients = self.clients[errand.load * SOURCES_PER_LOAD + errand.source].clone();
         let records = self.records.clone();
         let manners = self.manners.clone();
         manners.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -185,3 +196,11 @@
         });
     }
 }
+
+fn clients_of(source: usize, daemons: &[SocketAddr]) -> Vec<Client> {
+    let ip = Ipv4Addr::new(127, SOURCE_NET, 0, source as u8 + 1);
+    daemons
+        .iter()
+        .map(|daemon| Client::new(*daemon).from_source(ip))
+        .collect()
+}
--- /dev/null
+++ b/lab/src/round/fault.rs
@@ -0,0 +1,193 @@
+//! Faults at set times.
+
+use {
+    crate::{
+        history::Departure,
+        platform::Faults,
+        process::Signal,
+        record::unix_us,
+        round::{Round, host::Host},
+        scenario::{Fault, FaultSpec, Target},
+    },
+    serde::Serialize,
+    smol_str::{SmolStr, ToSmolStr, format_smolstr},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Something worth telling that happened in a round.
+#[derive(Debug, Clone, Serialize)]
+pub struct FaultNote {
+    /// Time of the event.
+    pub at_us: u64,
+    /// What happened.
+    pub text: SmolStr,
+}
+
+/// Begin or end of a fault.
+#[derive(Debug, Clone)]
+pub(super) struct Action {
+    fault: Fault,
+    begins: bool,
+    lasts: bool,
+}
+
+/// Actions in the order of their times.
+pub(super) struct Timeline(VecDeque<(Duration, Action)>);
+
+impl Timeline {
+    pub(super) fn new(faults: &[FaultSpec]) -> Self {
+        let mut actions = Vec::new();
+        for spec in faults {
+            let action = |begins| Action {
+                fault: spec.fault.clone(),
+                begins,
+                lasts: spec.for_ms > 0,
+            };
+            actions.push((Duration::from_millis(spec.at_ms), action(true)));
+            if spec.for_ms > 0 {
+                actions.push((Duration::from_millis(spec.end_ms()), action(false)));
+            }
+        }
+        actions.sort_by_key(|(at, _)| *at);
+        Self(actions.into())
+    }
+
+    pub(super) fn next(&mut self) -> Option<(Duration, Action)> {
+        self.0.pop_front()
+    }
+}
+
+impl Round {
+    /// Begins or ends a fault.
+    pub(super) async fn act(&mut self, action: Action) {
+        let begins = action.begins;
+        match &action.fault {
+            Fault::Slow(service, factor) => {
+                let factor = if begins { *factor } else { 1.0 };
+                self.slow(service, factor).await;
+            }
+            Fault::Surge(load, factor) => self.surge(load, if begins { *factor } else { 1.0 }),
+            Fault::HardResends(times) => self.manners.resend_hard(if begins { *times } else { 0 }),
+            Fault::Kill(target) => self.kill(target, &action),
+            Fault::Pause(target) => self.pause(target, begins),
+            Fault::Cut(left, right) => self.network.cut(left, right, begins),
+            Fault::Delay(left, right, delay_us) => {
+                self.network.delay(left, right, begins.then_some(*delay_us));
+            }
+            Fault::Poison(call) => self.callers.poison(call),
+            Fault::Leave(worker) => self.leave(worker).await,
+            Fault::Ask(statement) => self.ask(statement).await,
+            Fault::StoreOutage => self.store_faults(Faults {
+                outage: begins,
+                ..Faults::default()
+            }),
+            Fault::StoreLostAnswers(count) => self.store_faults(Faults {
+                lose_answers: if begins { *count } else { 0 },
+                ..Faults::default()
+            }),
+        }
+    }
+
+    async fn slow(&mut self, service: &str, factor: f64) {
+        let mut failures = Vec::new();
+        for host in self.hosts.iter().filter(|host| host.service == service) {
+            if let Err(detail) = host.command(&format!("slow/{factor}")).await {
+                failures.push(format_smolstr!("{} was not slowed: {detail}", host.name));
+            }
+        }
+        for failure in failures {
+            self.note(failure);
+        }
+    }
+
+    fn surge(&self, load: &str, factor: f64) {
+        for (position, spec) in self.scenario.loads.iter().enumerate() {
+            if load == "all" || spec.name == load {
+                self.manners.surge(position, factor);
+            }
+        }
+    }
+
+    fn kill(&mut self, target: &Target, action: &Action) {
+        let (daemon, backend) = parts(target);
+        let Some(host) = self.host(target.worker()) else {
+            return;
+        };
+        if action.begins {
+            host.kill(daemon, backend);
+        } else if action.lasts
+            && let Err(error) = host.replace(daemon, backend)
+        {
+            self.note(error.to_smolstr());
+        }
+    }
+
+    fn pause(&mut self, target: &Target, begins: bool) {
+        let (daemon, backend) = parts(target);
+        let signal = if begins {
+            Signal::Stop
+        } else {
+            Signal::Continue
+        };
+        let Some(host) = self.host(target.worker()) else {
+            return;
+        };
+        if let Err(error) = host.signal(signal, daemon, backend) {
+            self.note(error.to_smolstr());
+        }
+    }
+
+    async fn leave(&mut self, worker: &SmolStr) {
+        let Some(host) = self.host(worker) else {
+            return;
+        };
+        if let Err(detail) = host.command("leave").await {
+            self.note(format_smolstr!("{worker} could not leave: {detail}"));
+            return;
+        }
+        self.departures.push(Departure {
+            worker: worker.clone(),
+            at_us: unix_us(),
+        });
+    }
+
+    /// Gives a statement to the first daemon; a drain or stop of a worker counts as its departure.
+    async fn ask(&mut self, statement: &SmolStr) {
+        let asked_us = unix_us();
+        if let Err(detail) = self.hosts[0].ask(statement).await {
+            self.note(format_smolstr!("'{statement}' was refused: {detail}"));
+            return;
+        }
+        let words: Vec<_> = statement.split_whitespace().collect();
+        if let ["drain" | "stop", "worker", worker, ..] = words.as_slice() {
+            self.departures.push(Departure {
+                worker: worker.trim_end_matches(';').into(),
+                at_us: asked_us,
+            });
+        }
+    }
+
+    fn store_faults(&mut self, faults: Faults) {
+        match &self.store {
+            Some(store) => store.platform.set_faults(faults),
+            None => self.note("no store to fail: daemons keep their own in memory".into()),
+        }
+    }
+
+    /// Finds a host; a name that is not known is noted.
+    fn host(&mut self, worker: &str) -> Option<&mut Host> {
+        let position = self.hosts.iter().position(|host| host.name == worker);
+        if position.is_none() {
+            self.note(format_smolstr!("no worker {worker}"));
+        }
+        position.map(|position| &mut self.hosts[position])
+    }
+}
+
+fn parts(target: &Target) -> (bool, bool) {
+    match target {
+        Target::Daemon(_) => (true, false),
+        Target::Backend(_) => (false, true),
+        Target::Vm(_) => (true, true),
+    }
+}
--- /dev/null
+++ b/lab/src/round/host.rs
@@ -0,0 +1,348 @@
+//! One VM: a daemon and its backend server as processes.
+
+use {
+    crate::{
+        client::Client,
+        network::Network,
+        process::{Process, ProcessError, Signal},
+        round::{Policy, RoundSettings, store_address},
+        scenario::Scenario,
+        wire::DaemonSettings,
+    },
+    http_types::Method,
+    smol_str::{SmolStr, ToSmolStr, format_smolstr},
+    std::{
+        ffi::OsString,
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        sync::{Arc, mpsc::Sender},
+        time::{Duration, Instant},
+    },
+};
+
+/// Pause before a process that ended unasked is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
+/// First contacts taken from each data centre.
+const SEEDS_PER_DATA_CENTRE: usize = 2;
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for an operator's change to be in force.
+const ASK_WAIT: Duration = Duration::from_secs(12);
+/// Lines of a log that are shown when a daemon does not come up.
+const LOG_TAIL_LINES: usize = 5;
+
+/// One VM with its two processes.
+pub(super) struct Host {
+    /// Name of the worker.
+    pub(super) name: SmolStr,
+    /// Service of the worker.
+    pub(super) service: SmolStr,
+    settings: DaemonSettings,
+    backend_address: SocketAddr,
+    program: Program,
+    daemon: Slot,
+    backend: Slot,
+    lines: Sender<String>,
+}
+
+/// What is needed to start the processes.
+struct Program {
+    daemon: PathBuf,
+    lab: PathBuf,
+    scenario: PathBuf,
+    directory: PathBuf,
+    seed: u64,
+}
+
+/// Place of one process.
+#[derive(Default)]
+struct Slot {
+    process: Option<Process>,
+    /// Set when the process is meant to be absent.
+    absent: bool,
+    restart_at: Option<Instant>,
+}
+
+impl Slot {
+    /// Notices an end that nobody asked for; tells when to start again.
+    fn look_after(&mut self) -> Option<Looked> {
+        if let Some(at) = self.restart_at {
+            if Instant::now() < at {
+                return None;
+            }
+            self.restart_at = None;
+            return Some(Looked::Restart);
+        }
+        let ended = self.process.as_mut()?.ended()?;
+        self.process = None;
+        if self.absent {
+            return None;
+        }
+        if ended.success() {
+            self.absent = true;
+            return Some(Looked::Left);
+        }
+        self.restart_at = Some(Instant::now() + RESTART_PAUSE);
+        Some(Looked::Ended(ended.to_smolstr()))
+    }
+
+    fn kill(&mut self) {
+        self.absent = true;
+        self.restart_at = None;
+        self.process = None;
+    }
+
+    fn fill(&mut self, process: Process) {
+        self.absent = false;
+        self.restart_at = None;
+        self.process = Some(process);
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
+        self.process
+            .as_ref()
+            .map_or(Ok(()), |process| process.signal(signal))
+    }
+}
+
+/// What was seen of a process.
+enum Looked {
+    Ended(SmolStr),
+    Left,
+    Restart,
+}
+
+impl Host {
+    /// All hosts of a scenario, not yet started.
+    pub(super) fn all(
+        scenario: &Scenario,
+        round: &RoundSettings,
+        network: &Arc<Network>,
+        lines: &Sender<String>,
+    ) -> Vec<Self> {
+        let mut hosts: Vec<Self> = Vec::new();
+        for service in &scenario.services {
+            for (number, place) in service.workers.iter().enumerate() {
+                let host = hosts.len();
+                let name = format_smolstr!("{}-{}", service.name, number + 1);
+                hosts.push(Self {
+                    settings: daemon_settings(scenario, round, network, host, &name, place),
+                    name,
+                    service: service.name.clone(),
+                    backend_address: network.backend(host),
+                    program: Program {
+                        daemon: round.daemon.clone(),
+                        lab: round.lab.clone(),
+                        scenario: round.file.clone(),
+                        directory: round.directory.clone(),
+                        seed: scenario.seed * 1_000 + host as u64,
+                    },
+                    daemon: Slot::default(),
+                    backend: Slot::default(),
+                    lines: lines.clone(),
+                });
+            }
+        }
+        hosts
+    }
+
+    /// Starts a fresh daemon.
+    pub(super) fn start_daemon(&mut self) -> Result<(), ProcessError> {
+        let file = self.program.directory.join(format!("{}.ini", self.name));
+        fs::write(&file, self.settings.ini()).ok();
+        let arguments = ["daemon".into(), "--config".into(), file.into()];
+        let log = self.log_file();
+        let process = Process::with_log(&self.name, &self.program.daemon, &arguments, &log)?;
+        self.daemon.fill(process);
+        Ok(())
+    }
+
+    /// Starts a fresh backend server.
+    pub(super) fn start_backend(&mut self) -> Result<(), ProcessError> {
+        let text = |value: &dyn ToString| OsString::from(value.to_string());
+        let arguments = [
+            "backend".into(),
+            "--scenario".into(),
+            self.program.scenario.clone().into(),
+            "--service".into(),
+            text(&self.service),
+            "--worker".into(),
+            text(&self.name),
+            "--listen".into(),
+            text(&self.backend_address),
+            "--announce".into(),
+            text(&self.settings.worker),
+            "--callers".into(),
+            text(&self.settings.callers),
+            "--seed".into(),
+            text(&self.program.seed),
+        ];
+        let lines = self.lines.clone();
+        let process = Process::with_lines(&self.name, &self.program.lab, &arguments, lines)?;
+        self.backend.fill(process);
+        Ok(())
+    }
+
+    /// Restarts what ended unasked and tells what was seen.
+    pub(super) fn look_after(&mut self) -> Option<SmolStr> {
+        let name = self.name.clone();
+        match self.daemon.look_after() {
+            Some(Looked::Ended(how)) => return Some(format_smolstr!("daemon {name} ended: {how}")),
+            Some(Looked::Left) => return Some(format_smolstr!("daemon {name} left")),
+            Some(Looked::Restart) => drop(self.start_daemon()),
+            None => (),
+        }
+        match self.backend.look_after() {
+            Some(Looked::Ended(how)) => Some(format_smolstr!("backend server {name} ended: {how}")),
+            Some(Looked::Left) => Some(format_smolstr!("backend server {name} was released")),
+            Some(Looked::Restart) => {
+                drop(self.start_backend());
+                None
+            }
+            None => None,
+        }
+    }
+
+    /// Kills the daemon, the backend server, or both.
+    pub(super) fn kill(&mut self, daemon: bool, backend: bool) {
+        if daemon {
+            self.daemon.kill();
+        }
+        if backend {
+            self.backend.kill();
+        }
+    }
+
+    /// Starts what was killed, with nothing kept.
+    pub(super) fn replace(&mut self, daemon: bool, backend: bool) -> Result<(), ProcessError> {
+        if daemon {
+            self.start_daemon()?;
+        }
+        if backend {
+            self.start_backend()?;
+        }
+        Ok(())
+    }
+
+    /// Signals the daemon, the backend server, or both.
+    pub(super) fn signal(
+        &self,
+        signal: Signal,
+        daemon: bool,
+        backend: bool,
+    ) -> Result<(), ProcessError> {
+        if daemon {
+            self.daemon.signal(signal)?;
+        }
+        if backend {
+            self.backend.signal(signal)?;
+        }
+        Ok(())
+    }
+
+    /// Tells whether the daemon has ended.
+    pub(super) fn daemon_ended(&mut self) -> bool {
+        self.daemon
+            .process
+            .as_mut()
+            .is_none_or(|process| process.ended().is_some())
+    }
+
+    /// Resident memory of the daemon.
+    pub(super) fn daemon_bytes(&self) -> u64 {
+        self.daemon
+            .process
+            .as_ref()
+            .and_then(Process::resident_bytes)
+            .unwrap_or(0)
+    }
+
+    /// Tells whether daemon and backend server answer.
+    pub(super) async fn answers(&self) -> bool {
+        let daemon = self.get(self.settings.operators, "/dump").await;
+        daemon && self.get(self.backend_address, "/health").await
+    }
+
+    /// Gives the daemon an operator's statements.
+    pub(super) async fn ask(&self, statements: &str) -> Result<(), SmolStr> {
+        let client = Client::new(self.settings.operators);
+        let mut request = client.request(Method::Post, "/ask");
+        request.set_body(statements);
+        match client.send_within(request, ASK_WAIT).await {
+            Some(Ok(answer)) if answer.status < 300 => Ok(()),
+            Some(Ok(answer)) => Err(String::from_utf8_lossy(&answer.body).to_smolstr()),
+            Some(Err(error)) => Err(error.to_smolstr()),
+            None => Err("no answer in time".into()),
+        }
+    }
+
+    /// Gives the backend server a command of the lab.
+    pub(super) async fn command(&self, command: &str) -> Result<(), SmolStr> {
+        let client = Client::new(self.backend_address);
+        let request = client.request(Method::Put, &format!("/.lab/{command}"));
+        match client.send_within(request, ANSWER_WAIT).await {
+            Some(Ok(answer)) if answer.status < 300 => Ok(()),
+            Some(Ok(answer)) => Err(String::from_utf8_lossy(&answer.body).to_smolstr()),
+            Some(Err(error)) => Err(error.to_smolstr()),
+            None => Err("no answer in time".into()),
+        }
+    }
+
+    /// Last lines of the daemon's log.
+    pub(super) fn log_tail(&self) -> SmolStr {
+        let text = fs::read_to_string(self.log_file()).unwrap_or_default();
+        let lines: Vec<_> = text.lines().collect();
+        let tail = lines.len().saturating_sub(LOG_TAIL_LINES);
+        lines[tail..].join("\n").into()
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> bool {
+        let client = Client::new(address);
+        let request = client.request(Method::Get, path);
+        matches!(client.send_within(request, ANSWER_WAIT).await, Some(Ok(answer)) if answer.status < 300)
+    }
+
+    fn log_file(&self) -> PathBuf {
+        self.program.directory.join(format!("{}.log", self.name))
+    }
+}
+
+fn daemon_settings(
+    scenario: &Scenario,
+    round: &RoundSettings,
+    network: &Arc<Network>,
+    host: usize,
+    name: &SmolStr,
+    place: &SmolStr,
+) -> DaemonSettings {
+    DaemonSettings {
+        name: name.clone(),
+        region: scenario.region(place),
+        data_centre: place.clone(),
+        callers: network.callers(host),
+        calls: network.calls(host),
+        gossip: network.gossip(host),
+        operators: network.operators(host),
+        worker: network.worker(host),
+        advertised: Some((
+            network.advertised_calls(host),
+            network.advertised_gossip(host),
+        )),
+        seeds: seeds(scenario, network),
+        store: round.store.then(|| store_address(round.net)),
+        baseline: round.policy == Policy::Baseline,
+    }
+}
+
+/// Gossip addresses of the first hosts in each data centre.
+fn seeds(scenario: &Scenario, network: &Network) -> Vec<SocketAddr> {
+    let mut places = scenario.services.iter().flat_map(|it| it.workers.iter());
+    let places: Vec<_> = places.by_ref().collect();
+    let mut seeds = Vec::new();
+    for data_centre in &scenario.data_centres {
+        let own = (0..places.len()).filter(|host| *places[*host] == data_centre.name);
+        let first = own.take(SEEDS_PER_DATA_CENTRE);
+        seeds.extend(first.map(|host| network.advertised_gossip(host)));
+    }
+    seeds
+}
--- a/lab/src/scenario/load.rs
+++ b/lab/src/scenario/load.rs
@@ -82,8 +82,8 @@
     Ask(SmolStr),
     /// The store answers nothing.
     StoreOutage,
-    /// The store takes writes, but this share of its answers is lost.
-    StoreLostAnswers(u8),
+    /// So many of the next writes to the store take effect while their answers are lost.
+    StoreLostAnswers(u32),
 }
 
 /// Process that a fault is aimed at.
@@ -184,7 +184,7 @@
         "leave" => Fault::Leave(section.text("worker")?),
         "ask" => Fault::Ask(section.text("statement")?),
         "store-outage" => Fault::StoreOutage,
-        "store-lost-answers" => Fault::StoreLostAnswers(section.number("percent", None)?),
+        "store-lost-answers" => Fault::StoreLostAnswers(section.number("count", None)?),
         _ => return Err(section.fault("kind", &"is not known")),
     })
 }
--- /dev/null
+++ b/lab/src/summary.rs
@@ -0,0 +1,245 @@
+//! Figures of one round, worked out from its history.
+
+use {
+    crate::{
+        history::{History, Run},
+        judge::{Finding, extra_calls, judge},
+        record::{End, RequestRecord},
+        report::Tally,
+        round::{FaultNote, Outcome, Policy},
+    },
+    serde::Serialize,
+    shallotdeal::collections::HashMap,
+    std::fmt::{self, Write},
+};
+
+/// Slice of time in which goodput is looked at.
+const SLICE_MS: u64 = 100;
+/// Share of the goodput before the trigger that counts as recovered.
+const RECOVERED_PERCENT: u64 = 95;
+/// Slices in a row that have to be recovered.
+const SUSTAINED_SLICES: usize = 5;
+
+/// Figures of one round.
+#[derive(Debug, Clone, Serialize)]
+pub struct Summary {
+    /// Policy of the daemons.
+    pub policy: Policy,
+    /// All counted requests by class.
+    pub classes: Vec<Tally>,
+    /// Requests offered while triggers lasted, by class.
+    pub during_triggers: Vec<Tally>,
+    /// Time from the end of the triggers until goodput was back.
+    pub recovery: Recovery,
+    /// Extra calls that ran, for one request.
+    pub extra_calls: Spread,
+    /// Runs for one request over its whole tree.
+    pub runs: Spread,
+    /// Work for requests that failed, as a share of all work.
+    pub wasted_percent: f64,
+    /// Work of the scarce service for good requests while triggers lasted (or in the whole load),
+    /// as a share of what its slots could do.
+    pub scarce_percent: Option<f64>,
+    /// Bytes between regions.
+    pub region_bytes: u64,
+    /// Largest resident memory of a daemon at the end of the load.
+    pub daemon_bytes: u64,
+    /// The promises, checked.
+    pub findings: Vec<Finding>,
+    /// Events worth telling.
+    pub notes: Vec<FaultNote>,
+}
+
+/// Largest and mean of a count.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// Largest.
+    pub max: u64,
+    /// Mean.
+    pub mean: f64,
+}
+
+/// When goodput was back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Recovery {
+    /// There was no trigger.
+    NoTrigger,
+    /// This long after the end of the triggers.
+    AfterMs(u64),
+    /// Not within this time, when the load ended.
+    NotWithinMs(u64),
+}
+
+impl Summary {
+    /// Works out the figures.
+    pub fn new(policy: Policy, outcome: &Outcome) -> Self {
+        let history = &outcome.history;
+        let span_ms = trigger_span_ms(history);
+        Self {
+            policy,
+            classes: Tally::by_class(&history.scenario, &history.requests),
+            during_triggers: Tally::by_class(
+                &history.scenario,
+                &history.offered_between(span_ms.0, span_ms.1),
+            ),
+            recovery: recovery(history),
+            extra_calls: Spread::of(extra_calls(history).into_iter()),
+            runs: Spread::of(
+                history
+                    .runs_by_request()
+                    .into_values()
+                    .map(|runs| runs.len() as u64),
+            ),
+            wasted_percent: wasted_percent(history),
+            scarce_percent: scarce_percent(history, span_ms),
+            region_bytes: outcome.region_bytes,
+            daemon_bytes: outcome.daemon_bytes,
+            findings: judge(history),
+            notes: outcome.notes.clone(),
+        }
+    }
+
+    /// Text for people.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        self.write(&mut text).ok();
+        text
+    }
+
+    fn write(&self, text: &mut String) -> fmt::Result {
+        writeln!(text, "{}", self.policy)?;
+        text.push_str(&Tally::table(&self.classes));
+        writeln!(text, "  while triggers lasted:")?;
+        text.push_str(&Tally::table(&self.during_triggers));
+        match self.recovery {
+            Recovery::NoTrigger => (),
+            Recovery::AfterMs(ms) => writeln!(text, "  recovery          {ms} ms")?,
+            Recovery::NotWithinMs(ms) => writeln!(text, "  recovery          not within {ms} ms")?,
+        }
+        let extra = self.extra_calls;
+        writeln!(
+            text,
+            "  extra calls       max {}, mean {:.3}",
+            extra.max, extra.mean
+        )?;
+        writeln!(
+            text,
+            "  runs a request    max {}, mean {:.2}",
+            self.runs.max, self.runs.mean
+        )?;
+        writeln!(text, "  wasted work       {:.1}%", self.wasted_percent)?;
+        if let Some(percent) = self.scarce_percent {
+            writeln!(
+                text,
+                "  scarce service    {percent:.1}% of its slots' time went to good requests"
+            )?;
+        }
+        writeln!(
+            text,
+            "  between regions   {:.2} MB; largest daemon {:.1} MB resident",
+            self.region_bytes as f64 / 1e6,
+            self.daemon_bytes as f64 / 1e6
+        )?;
+        for finding in &self.findings {
+            writeln!(text, "{}", finding.line())?;
+        }
+        for note in &self.notes {
+            writeln!(text, "  note: {}", note.text)?;
+        }
+        Ok(())
+    }
+}
+
+impl Spread {
+    fn of(counts: impl Iterator<Item = u64>) -> Self {
+        let (mut max, mut sum, mut count) = (0, 0, 0_u64);
+        for it in counts {
+            max = max.max(it);
+            sum += it;
+            count += 1;
+        }
+        Self {
+            max,
+            mean: sum as f64 / count.max(1) as f64,
+        }
+    }
+}
+
+/// Time from the end of the last trigger until `SUSTAINED_SLICES` slices in a row are recovered.
+///
+/// Goodput of a slice is the share of the requests offered in it that ended well.
+pub fn recovery(history: &History) -> Recovery {
+    let scenario = &history.scenario;
+    let (Some(begin_ms), Some(end_ms)) = (scenario.triggers_begin_ms(), scenario.triggers_end_ms())
+    else {
+        return Recovery::NoTrigger;
+    };
+    let before = history.offered_between(0, begin_ms);
+    let (good_before, offered_before) = goodput(&before);
+    let mut sustained = 0;
+    let mut at_ms = end_ms;
+    while at_ms + SLICE_MS <= scenario.run_ms {
+        let (good, offered) = goodput(&history.offered_between(at_ms, at_ms + SLICE_MS));
+        at_ms += SLICE_MS;
+        let recovered = good * offered_before * 100 >= good_before * offered * RECOVERED_PERCENT;
+        sustained = if recovered { sustained + 1 } else { 0 };
+        if sustained == SUSTAINED_SLICES {
+            return Recovery::AfterMs(at_ms - end_ms - SLICE_MS * SUSTAINED_SLICES as u64);
+        }
+    }
+    Recovery::NotWithinMs(scenario.run_ms.saturating_sub(end_ms))
+}
+
+fn goodput(requests: &[RequestRecord]) -> (u64, u64) {
+    let good = requests.iter().filter(|request| request.good).count();
+    (good as u64, requests.len() as u64)
+}
+
+fn trigger_span_ms(history: &History) -> (u64, u64) {
+    let scenario = &history.scenario;
+    let begin_ms = scenario.triggers_begin_ms().unwrap_or(0);
+    let end_ms = scenario.triggers_end_ms().unwrap_or(scenario.run_ms);
+    if end_ms > begin_ms {
+        (begin_ms, end_ms)
+    } else {
+        (begin_ms, scenario.run_ms)
+    }
+}
+
+fn wasted_percent(history: &History) -> f64 {
+    let good = good_requests(history);
+    let (mut wasted_us, mut all_us) = (0, 0);
+    for run in &history.runs {
+        if let Some(is_good) = good.get(run.start.request.as_str()) {
+            all_us += run.work_us();
+            wasted_us += if *is_good { 0 } else { run.work_us() };
+        }
+    }
+    wasted_us as f64 * 100.0 / all_us.max(1) as f64
+}
+
+fn scarce_percent(history: &History, span_ms: (u64, u64)) -> Option<f64> {
+    let scenario = &history.scenario;
+    let service = scenario.service(scenario.scarce.as_ref()?)?;
+    let good = good_requests(history);
+    let window = history.begin_us + span_ms.0 * 1_000..history.begin_us + span_ms.1 * 1_000;
+    let useful = |run: &&Run| {
+        run.start.service == service.name
+            && run.ended() == Some(End::Done)
+            && window.contains(&run.start.at_us)
+            && good.get(run.start.request.as_str()) == Some(&true)
+    };
+    let useful_us: u64 = history.runs.iter().filter(useful).map(Run::work_us).sum();
+    let slots = u64::from(service.slots) * service.workers.len() as u64;
+    let best_us = slots * (span_ms.1 - span_ms.0) * 1_000;
+    Some(useful_us as f64 * 100.0 / best_us.max(1) as f64)
+}
+
+fn good_requests(history: &History) -> HashMap<&str, bool> {
+    history
+        .requests
+        .iter()
+        .map(|request| (request.request.as_str(), request.good))
+        .collect()
+}
--- a/lab/src/wire.rs
+++ b/lab/src/wire.rs
@@ -1,6 +1,7 @@
 //! What callers, backend servers and daemons say to each other, as the stand-ins see it.
 
 use {
+    crate::scenario::Scenario,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{fmt::Write, net::SocketAddr},
@@ -145,3 +146,24 @@
         writeln!(ini, "[log]\nlevel = info\nformat = human")
     }
 }
+
+/// Statements that configure a scenario's classes and services.
+pub fn statements(scenario: &Scenario) -> String {
+    let mut text = String::new();
+    for class in &scenario.classes {
+        writeln!(
+            text,
+            "create class {} importance {} allowance {} idempotent {} deadline {}ms;",
+            class.name,
+            class.importance,
+            class.retry_allowance,
+            if class.idempotent { "yes" } else { "no" },
+            class.deadline_ms,
+        )
+        .ok();
+    }
+    for service in &scenario.services {
+        writeln!(text, "create service {};", service.name).ok();
+    }
+    text
+}
