--- a/lab/src/forward.rs
+++ b/lab/src/forward.rs
@@ -130,6 +130,7 @@
         };
         let link = network.link(Some(source), host);
         if link.is_cut() {
+            link.drop_datagram();
             continue;
         }
         link.count(read_bytes);
--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -34,6 +34,7 @@
     delay_us: AtomicU64,
     cut: AtomicBool,
     sent_bytes: AtomicU64,
+    dropped: AtomicU64,
     between_regions: bool,
 }
 
@@ -57,6 +58,16 @@
         self.cut.load(Ordering::Relaxed)
     }
 
+    /// Datagrams lost in cuts.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Counts a datagram lost in a cut.
+    pub fn drop_datagram(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts what passes.
     pub fn count(&self, sent_bytes: usize) {
         self.sent_bytes
