--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -152,6 +152,11 @@
         self.idle.lock().extend(fresh);
     }
 
+    /// Connections kept for reuse.
+    pub fn idle(&self) -> usize {
+        self.idle.lock().len()
+    }
+
     async fn connection(&self) -> Result<TcpStream, ClientError> {
         loop {
             let Some(stream) = self.idle.lock().pop() else {
--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod call;
+mod overhead;
 mod run;
 
 use {
@@ -58,11 +59,24 @@
             optional --memory
             /// Second part of the IP numbers that are used, and the next one.
             optional --net number: u8
+            /// Factor of all surges, in place of the scenario's.
+            optional --surge factor: f64
             /// Keep the daemons' settings and logs.
             optional --keep-logs
             /// Print JSON.
             optional --json
         }
+        /// Compares a call through two daemons with the same call straight to the backend server.
+        cmd overhead {
+            /// Scenario file; its first service is called through the daemon of its last worker.
+            required file: PathBuf
+            /// Binary of the daemon; beside this one by default.
+            optional --daemon file: PathBuf
+            /// Second part of the IP numbers that are used.
+            optional --net number: u8
+            /// Print JSON.
+            optional --json
+        }
     }
 }
 
@@ -73,6 +87,7 @@
         LabCmd::Backend(flags) => backend::run(flags),
         LabCmd::Call(flags) => call::run(&flags),
         LabCmd::Run(flags) => run::run(&flags),
+        LabCmd::Overhead(flags) => overhead::run(&flags),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -22,7 +22,11 @@
 
 /// Runs a scenario under the policy and under the baseline, in alternating order.
 pub(super) fn run(flags: &Run) -> Result<(), Box<dyn Error>> {
-    let scenario = Arc::new(Scenario::read(&flags.file)?);
+    let mut scenario = Scenario::read(&flags.file)?;
+    if let Some(factor) = flags.surge {
+        scenario.surge(factor);
+    }
+    let scenario = Arc::new(scenario);
     let directory = env::temp_dir().join(format!("lab-{}", process::id()));
     fs::create_dir_all(&directory)?;
     let summaries = rounds(flags, &scenario, &directory);
@@ -56,12 +60,13 @@
             fs::create_dir_all(&directory)?;
             let settings = RoundSettings {
                 file: fs::canonicalize(&flags.file)?,
-                daemon: daemon(flags)?,
+                daemon: daemon(flags.daemon.as_deref())?,
                 lab: env::current_exe()?,
                 directory,
                 net: flags.net.unwrap_or(DEFAULT_NET),
                 policy,
                 store: !flags.memory,
+                forwarders: true,
             };
             let outcome = task::block_on(round::run(scenario, settings))?;
             summaries.push(Summary::new(policy, &outcome));
@@ -80,12 +85,12 @@
 }
 
 /// The daemon's binary: as given, or beside the lab's own.
-fn daemon(flags: &Run) -> io::Result<PathBuf> {
+pub(super) fn daemon(given: Option<&Path>) -> io::Result<PathBuf> {
     let beside = || {
         let own = env::current_exe()?;
         Ok::<_, io::Error>(own.with_file_name("shallotdeal"))
     };
-    let path = flags.daemon.clone().map_or_else(beside, Ok)?;
+    let path = given.map_or_else(beside, |path| Ok(path.to_owned()))?;
     fs::canonicalize(&path)
         .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
 }
--- a/lab/src/round.rs
+++ b/lab/src/round.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod host;
+mod overhead;
 
 use {
     crate::{
@@ -29,7 +30,10 @@
     },
 };
 
-pub use crate::round::fault::FaultNote;
+pub use crate::round::{
+    fault::FaultNote,
+    overhead::{Latency, Overhead, overhead},
+};
 
 /// Time until all daemons have to answer.
 const BOOT_LIMIT: Duration = Duration::from_secs(15);
@@ -71,6 +75,8 @@
     pub policy: Policy,
     /// Whether all daemons share a stand-in store; else each keeps its own in memory.
     pub store: bool,
+    /// Whether forwarders stand between the daemons.
+    pub forwarders: bool,
 }
 
 /// Why a round failed.
@@ -207,16 +213,8 @@
     /// Waits until each daemon answers.
     async fn boot(&mut self) -> Result<(), RoundError> {
         let until = Instant::now() + BOOT_LIMIT;
-        for host in 0..self.hosts.len() {
-            while !self.hosts[host].answers().await {
-                if Instant::now() > until || self.hosts[host].daemon_ended() {
-                    return Err(RoundError::Boot {
-                        name: self.hosts[host].name.clone(),
-                        detail: self.hosts[host].log_tail(),
-                    });
-                }
-                task::sleep(TICK).await;
-            }
+        for host in &mut self.hosts {
+            host.boot(until).await?;
         }
         Ok(())
     }
--- a/lab/src/round/host.rs
+++ b/lab/src/round/host.rs
@@ -5,10 +5,11 @@
         client::Client,
         network::Network,
         process::{Process, ProcessError, Signal},
-        round::{Policy, RoundSettings, store_address},
+        round::{Policy, RoundError, RoundSettings, TICK, store_address},
         scenario::Scenario,
         wire::DaemonSettings,
     },
+    async_std::task,
     http_types::Method,
     smol_str::{SmolStr, ToSmolStr, format_smolstr},
     std::{
@@ -241,7 +242,7 @@
     }
 
     /// Tells whether the daemon has ended.
-    pub(super) fn daemon_ended(&mut self) -> bool {
+    fn daemon_ended(&mut self) -> bool {
         self.daemon
             .process
             .as_mut()
@@ -257,8 +258,21 @@
             .unwrap_or(0)
     }
 
-    /// Tells whether daemon and backend server answer.
-    pub(super) async fn answers(&self) -> bool {
+    /// Waits until daemon and backend server answer.
+    pub(super) async fn boot(&mut self, until: Instant) -> Result<(), RoundError> {
+        while !self.answers().await {
+            if Instant::now() > until || self.daemon_ended() {
+                return Err(RoundError::Boot {
+                    name: self.name.clone(),
+                    detail: self.log_tail(),
+                });
+            }
+            task::sleep(TICK).await;
+        }
+        Ok(())
+    }
+
+    async fn answers(&self) -> bool {
         let daemon = self.get(self.settings.operators, "/dump").await;
         daemon && self.get(self.backend_address, "/health").await
     }
@@ -289,7 +303,7 @@
     }
 
     /// Last lines of the daemon's log.
-    pub(super) fn log_tail(&self) -> SmolStr {
+    fn log_tail(&self) -> SmolStr {
         let text = fs::read_to_string(self.log_file()).unwrap_or_default();
         let lines: Vec<_> = text.lines().collect();
         let tail = lines.len().saturating_sub(LOG_TAIL_LINES);
@@ -324,25 +338,34 @@
         gossip: network.gossip(host),
         operators: network.operators(host),
         worker: network.worker(host),
-        advertised: Some((
-            network.advertised_calls(host),
-            network.advertised_gossip(host),
-        )),
-        seeds: seeds(scenario, network),
+        advertised: round.forwarders.then(|| {
+            (
+                network.advertised_calls(host),
+                network.advertised_gossip(host),
+            )
+        }),
+        seeds: seeds(scenario, network, round.forwarders),
         store: round.store.then(|| store_address(round.net)),
         baseline: round.policy == Policy::Baseline,
     }
 }
 
 /// Gossip addresses of the first hosts in each data centre.
-fn seeds(scenario: &Scenario, network: &Network) -> Vec<SocketAddr> {
+fn seeds(scenario: &Scenario, network: &Network, forwarders: bool) -> Vec<SocketAddr> {
+    let gossip = |host| {
+        if forwarders {
+            network.advertised_gossip(host)
+        } else {
+            network.gossip(host)
+        }
+    };
     let mut places = scenario.services.iter().flat_map(|it| it.workers.iter());
     let places: Vec<_> = places.by_ref().collect();
     let mut seeds = Vec::new();
     for data_centre in &scenario.data_centres {
         let own = (0..places.len()).filter(|host| *places[*host] == data_centre.name);
         let first = own.take(SEEDS_PER_DATA_CENTRE);
-        seeds.extend(first.map(|host| network.advertised_gossip(host)));
+        seeds.extend(first.map(gossip));
     }
     seeds
 }
--- /dev/null
+++ b/lab/src/round/overhead.rs
@@ -0,0 +1,237 @@
+//! What daemons add to a call, and the memory that they take.
+
+use {
+    crate::{
+        caller::Errand,
+        client::Client,
+        network::Network,
+        record::RequestRecord,
+        report::latency_histogram,
+        round::{
+            RoundError, RoundSettings,
+            host::Host,
+            {BOOT_LIMIT, TICK},
+        },
+        scenario::{Resend, Scenario},
+        wire::statements,
+    },
+    async_channel::Sender,
+    async_std::task,
+    hdrhistogram::Histogram,
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::{Arc, mpsc},
+        time::{Duration, Instant},
+    },
+};
+
+/// Calls made before counting begins.
+const WARM_UP_CALLS: u64 = 1_000;
+/// Connections held open for the second figure of memory.
+const CONNECTIONS: usize = 2_000;
+/// Connections of one caller.
+const CONNECTIONS_PER_SOURCE: usize = 500;
+/// Time for the daemon to take all connections.
+const ACCEPT_TIME: Duration = Duration::from_secs(2);
+/// Second part of the IP numbers of the callers.
+const SOURCE_NET: u8 = 9;
+
+/// Figures of the comparison.
+#[derive(Debug, Clone, Serialize)]
+pub struct Overhead {
+    /// Calls straight to the backend server.
+    pub direct: Latency,
+    /// The same calls through two daemons.
+    pub through: Latency,
+    /// Resident memory of the callers' daemon when nothing has been sent yet.
+    pub idle_bytes: u64,
+    /// Its resident memory after the load.
+    pub loaded_bytes: u64,
+    /// Its resident memory with the open connections.
+    pub connected_bytes: u64,
+    /// Open connections.
+    pub connections: usize,
+}
+
+/// Latency of the calls of one way.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Latency {
+    /// Calls that ended well.
+    pub good: u64,
+    /// Calls that did not.
+    pub failed: u64,
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+}
+
+impl Overhead {
+    /// Text for people.
+    pub fn text(&self) -> String {
+        let line = |name: &str, latency: Latency| {
+            format!(
+                "  {name:<20} {:>6} good {:>4} failed  p50 {:>6} us  p99 {:>6} us\n",
+                latency.good, latency.failed, latency.p50_us, latency.p99_us
+            )
+        };
+        let mb = |bytes: u64| bytes as f64 / 1e6;
+        format!(
+            "{}{}  added                                   p50 {:>6} us  p99 {:>6} us\n  \
+             resident             idle {:.1} MB, after the load {:.1} MB, with {} connections {:.1} MB\n",
+            line("straight", self.direct),
+            line("through two daemons", self.through),
+            self.through.p50_us.cast_signed() - self.direct.p50_us.cast_signed(),
+            self.through.p99_us.cast_signed() - self.direct.p99_us.cast_signed(),
+            mb(self.idle_bytes),
+            mb(self.loaded_bytes),
+            self.connections,
+            mb(self.connected_bytes),
+        )
+    }
+}
+
+/// Compares calls through two daemons with calls straight to the backend server, in turns.
+///
+/// The first service of the scenario is called through the daemon of the second.
+pub async fn overhead(
+    scenario: &Arc<Scenario>,
+    settings: &RoundSettings,
+) -> Result<Overhead, RoundError> {
+    let places: Vec<SmolStr> = scenario
+        .services
+        .iter()
+        .flat_map(|service| service.workers.iter().cloned())
+        .collect();
+    let network = Network::new(settings.net, scenario, &places);
+    let (lines, _events) = mpsc::channel();
+    let mut hosts = Host::all(scenario, settings, &network, &lines);
+    for host in &mut hosts {
+        host.start_daemon()?;
+        host.start_backend()?;
+    }
+    let text = statements(scenario);
+    for host in &mut hosts {
+        host.boot(Instant::now() + BOOT_LIMIT).await?;
+        host.ask(&text).await.ok();
+    }
+    let entry = &hosts[hosts.len() - 1];
+    let daemon = network.callers(hosts.len() - 1);
+    let idle_bytes = entry.daemon_bytes();
+    let (direct, through) = compare(scenario, network.backend(0), daemon).await;
+    let loaded_bytes = entry.daemon_bytes();
+    let held = hold_connections(daemon).await;
+    task::sleep(ACCEPT_TIME).await;
+    let connected_bytes = entry.daemon_bytes();
+    let connections = held.iter().map(Client::idle).sum();
+    Ok(Overhead {
+        direct,
+        through,
+        idle_bytes,
+        loaded_bytes,
+        connected_bytes,
+        connections,
+    })
+}
+
+/// Open-loop load in which every other call goes through the daemons.
+async fn compare(
+    scenario: &Scenario,
+    backend: SocketAddr,
+    daemon: SocketAddr,
+) -> (Latency, Latency) {
+    let clients = Arc::new(vec![Client::new(backend), Client::new(daemon)]);
+    let load = &scenario.loads[0];
+    let interval = Duration::from_secs_f64(1.0 / load.rate_per_s);
+    let calls = (scenario.run_ms as f64 / 1_000.0 * load.rate_per_s) as u64;
+    let (sender, receiver) = async_channel::unbounded();
+    let mut due = Instant::now();
+    for number in 0..WARM_UP_CALLS + calls {
+        due += interval;
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        let errand = errand(scenario, number);
+        let counts = number >= WARM_UP_CALLS;
+        task::spawn(one_call(
+            errand,
+            clients.clone(),
+            counts.then(|| sender.clone()),
+        ));
+    }
+    drop(sender);
+    let mut tallies = [Tally::new(), Tally::new()];
+    while let Ok((way, record)) = receiver.recv().await {
+        tallies[way].add(&record);
+    }
+    let [direct, through] = tallies;
+    (direct.latency(), through.latency())
+}
+
+type Counted = (usize, RequestRecord);
+
+async fn one_call(errand: Errand, clients: Arc<Vec<Client>>, counted: Option<Sender<Counted>>) {
+    let record = errand.run(&clients).await;
+    if let Some(sender) = counted {
+        sender.send((errand.daemons[0], record)).await.ok();
+    }
+}
+
+fn errand(scenario: &Scenario, number: u64) -> Errand {
+    let load = &scenario.loads[0];
+    Errand {
+        load: 0,
+        id: u128::from(number) << 64 | u128::from(scenario.seed),
+        call: load.call.clone(),
+        class: scenario.classes[0].clone(),
+        resend: Resend::Polite(0),
+        body: "{}",
+        tickets: false,
+        source: 0,
+        daemons: vec![number as usize % 2],
+    }
+}
+
+struct Tally {
+    latency: Histogram<u64>,
+    failed: u64,
+}
+
+impl Tally {
+    fn new() -> Self {
+        Self {
+            latency: latency_histogram(),
+            failed: 0,
+        }
+    }
+
+    fn add(&mut self, record: &RequestRecord) {
+        if record.good {
+            let latency_us = record.ended_us.saturating_sub(record.offered_us);
+            self.latency.saturating_record(latency_us);
+        } else {
+            self.failed += 1;
+        }
+    }
+
+    fn latency(&self) -> Latency {
+        Latency {
+            good: self.latency.len(),
+            failed: self.failed,
+            p50_us: self.latency.value_at_quantile(0.5),
+            p99_us: self.latency.value_at_quantile(0.99),
+        }
+    }
+}
+
+async fn hold_connections(daemon: SocketAddr) -> Vec<Client> {
+    let mut clients = Vec::new();
+    for source in 0..CONNECTIONS / CONNECTIONS_PER_SOURCE {
+        let ip = Ipv4Addr::new(127, SOURCE_NET, 1, source as u8 + 1);
+        let client = Client::new(daemon).from_source(ip);
+        client.warm(CONNECTIONS_PER_SOURCE).await;
+        clients.push(client);
+        task::sleep(TICK).await;
+    }
+    clients
+}
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -121,6 +121,15 @@
         services
     }
 
+    /// Gives all surges this factor.
+    pub fn surge(&mut self, factor: f64) {
+        for spec in &mut self.faults {
+            if let Fault::Surge(_, own) = &mut spec.fault {
+                *own = factor;
+            }
+        }
+    }
+
     /// Latest end of a fault that is a trigger, from the start of the counted load.
     pub fn triggers_end_ms(&self) -> Option<u64> {
         self.faults.iter().map(FaultSpec::end_ms).max()
