--- /dev/null
+++ b/lab/src/history.rs
@@ -0,0 +1,105 @@
+//! What one round recorded: requests as their callers saw them, runs as the stand-ins did.
+
+use {
+    crate::{
+        record::{End, RequestRecord, RunEnd, RunEvent, RunStart},
+        scenario::Scenario,
+    },
+    shallotdeal::collections::HashMap,
+    smol_str::SmolStr,
+    std::sync::Arc,
+};
+
+/// One run at a backend server.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Its beginning.
+    pub start: RunStart,
+    /// Its end; none if its process died or the round was over.
+    pub end: Option<RunEnd>,
+}
+
+impl Run {
+    /// Own work done, without nested calls.
+    pub fn work_us(&self) -> u64 {
+        let Some(end) = &self.end else { return 0 };
+        let elapsed_us = end.at_us.saturating_sub(self.start.at_us);
+        end.work_us.min(elapsed_us)
+    }
+
+    /// How it ended.
+    pub fn ended(&self) -> Option<End> {
+        self.end.as_ref().map(|end| end.end)
+    }
+}
+
+/// A worker that was asked to leave.
+#[derive(Debug, Clone)]
+pub struct Departure {
+    /// Name of the worker.
+    pub worker: SmolStr,
+    /// Time of the order.
+    pub at_us: u64,
+}
+
+/// Everything recorded in one round.
+#[derive(Debug, Clone)]
+pub struct History {
+    /// What was run.
+    pub scenario: Arc<Scenario>,
+    /// Start of the counted load.
+    pub begin_us: u64,
+    /// Requests offered from then on.
+    pub requests: Vec<RequestRecord>,
+    /// All runs, also of requests before the counted load.
+    pub runs: Vec<Run>,
+    /// Workers that left in a planned stop.
+    pub departures: Vec<Departure>,
+}
+
+impl History {
+    /// Joins beginnings and ends of runs, in the order of their beginnings.
+    pub fn join_runs(events: impl IntoIterator<Item = RunEvent>) -> Vec<Run> {
+        let mut runs: Vec<Run> = Vec::new();
+        let mut positions = HashMap::<SmolStr, usize>::default();
+        for event in events {
+            match event {
+                RunEvent::Started(start) => {
+                    positions.insert(start.run.clone(), runs.len());
+                    runs.push(Run { start, end: None });
+                }
+                RunEvent::Ended(end) => {
+                    if let Some(position) = positions.get(&end.run) {
+                        runs[*position].end = Some(end);
+                    }
+                }
+            }
+        }
+        runs
+    }
+
+    /// Runs of the counted requests, by request.
+    pub fn runs_by_request(&self) -> HashMap<&str, Vec<&Run>> {
+        let mut by_request: HashMap<&str, Vec<&Run>> = self
+            .requests
+            .iter()
+            .map(|request| (request.request.as_str(), Vec::new()))
+            .collect();
+        for run in &self.runs {
+            if let Some(runs) = by_request.get_mut(run.start.request.as_str()) {
+                runs.push(run);
+            }
+        }
+        by_request
+    }
+
+    /// Requests offered in this span of the counted load.
+    pub fn offered_between(&self, from_ms: u64, until_ms: u64) -> Vec<RequestRecord> {
+        let span = self.begin_us + from_ms * 1_000..self.begin_us + until_ms * 1_000;
+        self.requests
+            .iter()
+            .filter(|request| span.contains(&request.offered_us))
+            .cloned()
+            .collect()
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,9 +6,16 @@
 pub mod backend;
 pub mod caller;
 pub mod client;
+pub mod forward;
+pub mod history;
+pub mod judge;
 pub mod load;
+pub mod network;
 pub mod platform;
+pub mod process;
 pub mod record;
 pub mod report;
+pub mod round;
 pub mod scenario;
+pub mod summary;
 pub mod wire;
