@@ -3016,59 +4178,101 @@
 pub mod member {
     #[derive(Copy, Clone)]
     pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
 
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
     }
 
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
         fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+            Self { reader }
         }
     }
 
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
             ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
     }
 
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
         fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
             self.reader
         }
     }
 
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
         fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
         pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3076,7 +4280,10 @@
         }
         #[inline]
         pub fn get_light(self) -> ::capnp::Result<crate::fleet_capnp::light::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_light(&self) -> bool {
@@ -3084,7 +4291,10 @@
         }
         #[inline]
         pub fn get_place(self) -> ::capnp::Result<crate::fleet_capnp::place::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_place(&self) -> bool {
@@ -3100,7 +4310,10 @@
         }
         #[inline]
         pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_service(&self) -> bool {
@@ -3112,7 +4325,10 @@
         }
         #[inline]
         pub fn get_suspects(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_suspects(&self) -> bool {
@@ -3120,52 +4336,89 @@
         }
     }
 
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 4,
+            };
     }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
         fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
+            Self { builder }
         }
     }
 
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
         fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
         fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
         }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
         }
     }
 
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
     }
 
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
             self.builder.into_reader().into()
         }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
         }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
             self.builder.as_reader().into()
         }
 
@@ -3174,14 +4427,24 @@
         }
         #[inline]
         pub fn get_light(self) -> ::capnp::Result<crate::fleet_capnp::light::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_light(&mut self, value: crate::fleet_capnp::light::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_light(
+            &mut self,
+            value: crate::fleet_capnp::light::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn init_light(self, ) -> crate::fleet_capnp::light::Builder<'a> {
+        pub fn init_light(self) -> crate::fleet_capnp::light::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
@@ -3190,14 +4453,24 @@
         }
         #[inline]
         pub fn get_place(self) -> ::capnp::Result<crate::fleet_capnp::place::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_place(&mut self, value: crate::fleet_capnp::place::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_place(
+            &mut self,
+            value: crate::fleet_capnp::place::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn init_place(self, ) -> crate::fleet_capnp::place::Builder<'a> {
+        pub fn init_place(self) -> crate::fleet_capnp::place::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
@@ -3209,7 +4482,7 @@
             self.builder.get_bool_field(0)
         }
         #[inline]
-        pub fn set_has_worker(&mut self, value: bool)  {
+        pub fn set_has_worker(&mut self, value: bool) {
             self.builder.set_bool_field(0, value);
         }
         #[inline]
@@ -3217,16 +4490,27 @@
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
+        pub fn set_incarnation(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
         pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
         pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3241,15 +4525,18 @@
             self.builder.get_data_field::<u32>(1)
         }
         #[inline]
-        pub fn set_slots(&mut self, value: u32)  {
+        pub fn set_slots(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
         pub fn get_suspects(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_suspects(&mut self, value: ::capnp::data::Reader<'_>)  {
+        pub fn set_suspects(&mut self, value: ::capnp::data::Reader<'_>) {
             self.builder.reborrow().get_pointer_field(3).set_data(value);
         }
         #[inline]
@@ -3262,13 +4549,17 @@
         }
     }
 
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
     impl ::capnp::capability::FromTypelessPipeline for Pipeline {
         fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
+            Self {
+                _typeless: typeless,
+            }
         }
     }
-    impl Pipeline  {
+    impl Pipeline {
         pub fn get_light(&self) -> crate::fleet_capnp::light::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
@@ -3416,19 +4707,24 @@
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
             ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,4,5,6];
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1, 4, 5, 6];
         pub(crate) const TYPE_ID: u64 = 0xa6e7_1b39_ec3e_70dd;
     }
 }
@@ -3436,59 +4732,101 @@
 pub mod beat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
 
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
     }
 
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
         fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+            Self { reader }
         }
     }
 
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
             ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
     }
 
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
         fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
             self.reader
         }
     }
 
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
         fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
         pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3496,7 +4834,10 @@
         }
         #[inline]
         pub fn get_region(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_region(&self) -> bool {
@@ -3504,7 +4845,10 @@
         }
         #[inline]
         pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_data_centre(&self) -> bool {
@@ -3512,7 +4856,10 @@
         }
         #[inline]
         pub fn get_contact(self) -> ::capnp::Result<crate::fleet_capnp::address::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_contact(&self) -> bool {
@@ -3532,7 +4879,10 @@
         }
         #[inline]
         pub fn get_lagging(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_lagging(&self) -> bool {
@@ -3540,52 +4890,89 @@
         }
     }
 
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 4,
+            };
     }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
         fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
+            Self { builder }
         }
     }
 
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
         fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
         fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
         }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
         }
     }
 
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
     }
 
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
             self.builder.into_reader().into()
         }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
         }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
             self.builder.as_reader().into()
         }
 
@@ -3594,11 +4981,22 @@
         }
         #[inline]
         pub fn get_region(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_region(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_region(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
         pub fn init_region(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3610,11 +5008,22 @@
         }
         #[inline]
         pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        pub fn set_data_centre(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
         pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3626,14 +5035,24 @@
         }
         #[inline]
         pub fn get_contact(self) -> ::capnp::Result<crate::fleet_capnp::address::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_contact(&mut self, value: crate::fleet_capnp::address::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        pub fn set_contact(
+            &mut self,
+            value: crate::fleet_capnp::address::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn init_contact(self, ) -> crate::fleet_capnp::address::Builder<'a> {
+        pub fn init_contact(self) -> crate::fleet_capnp::address::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
         }
         #[inline]
@@ -3645,7 +5064,7 @@
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_beat(&mut self, value: u64)  {
+        pub fn set_beat(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
@@ -3653,7 +5072,7 @@
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_revision_min(&mut self, value: u64)  {
+        pub fn set_revision_min(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
@@ -3661,20 +5080,33 @@
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_revision_max(&mut self, value: u64)  {
+        pub fn set_revision_max(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
         pub fn get_lagging(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_lagging(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn set_lagging(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
         }
         #[inline]
         pub fn init_lagging(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(3),
+                size,
+            )
         }
         #[inline]
         pub fn has_lagging(&self) -> bool {
@@ -3682,13 +5114,17 @@
         }
     }
 
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
     impl ::capnp::capability::FromTypelessPipeline for Pipeline {
         fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
+            Self {
+                _typeless: typeless,
+            }
         }
     }
-    impl Pipeline  {
+    impl Pipeline {
         pub fn get_contact(&self) -> crate::fleet_capnp::address::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
         }
@@ -3837,19 +5273,24 @@
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
             ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,6,0,5,4];
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 6, 0, 5, 4];
         pub(crate) const TYPE_ID: u64 = 0x8f44_0762_d3f3_d8cc;
     }
 }
@@ -3857,59 +5298,101 @@
 pub mod summary {
     #[derive(Copy, Clone)]
     pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
 
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
     }
 
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
         fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+            Self { reader }
         }
     }
 
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
             ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
     }
 
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
         fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
             self.reader
         }
     }
 
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
         fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
         pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3917,7 +5400,10 @@
         }
         #[inline]
         pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_data_centre(&self) -> bool {
@@ -3925,7 +5411,10 @@
         }
         #[inline]
         pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_service(&self) -> bool {
@@ -3948,8 +5437,15 @@
             self.reader.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn get_workers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::summary::worker::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_workers(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::fleet_capnp::summary::worker::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
         pub fn has_workers(&self) -> bool {
@@ -3957,52 +5453,89 @@
         }
     }
 
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 3,
+            };
     }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
         fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
+            Self { builder }
         }
     }
 
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
 
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
         fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
         }
     }
 
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
         fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
         }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
         }
     }
 
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
     }
 
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
             self.builder.into_reader().into()
         }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
         }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
             self.builder.as_reader().into()
         }
 
@@ -4011,11 +5544,22 @@
         }
         #[inline]
         pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_data_centre(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
         pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -4027,11 +5571,22 @@
         }
         #[inline]
         pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
         pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -4046,7 +5601,7 @@
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_version(&mut self, value: u64)  {
+        pub fn set_version(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
@@ -4054,7 +5609,7 @@
             self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_slots(&mut self, value: u32)  {
+        pub fn set_slots(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
@@ -4062,7 +5617,7 @@
             self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn set_load(&mut self, value: u32)  {
+        pub fn set_load(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(3, value);
         }
         #[inline]
@@ -4070,20 +5625,40 @@
             self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_level(&mut self, value: u32)  {
+        pub fn set_level(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(4, value);
         }
         #[inline]
-        pub fn get_workers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::summary::worker::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_workers(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::fleet_capnp::summary::worker::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_workers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::summary::worker::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        pub fn set_workers(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::fleet_capnp::summary::worker::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn init_workers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::summary::worker::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        pub fn init_workers(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::fleet_capnp::summary::worker::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
         }
         #[inline]
         pub fn has_workers(&self) -> bool {
@@ -4091,14 +5666,17 @@
         }
     }
 
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
     impl ::capnp::capability::FromTypelessPipeline for Pipeline {
         fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
+            Self {
+                _typeless: typeless,
+            }
         }
     }
-    impl Pipeline  {
-    }
+    impl Pipeline {}
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 130] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -4244,78 +5822,129 @@
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
             ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,4,1,3,2,6];
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 4, 1, 3, 2, 6];
         pub(crate) const TYPE_ID: u64 = 0xa056_68e3_dc44_5894;
     }
 
     pub mod worker {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -4323,7 +5952,10 @@
             }
             #[inline]
             pub fn get_place(self) -> ::capnp::Result<crate::fleet_capnp::place::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_place(&self) -> bool {
@@ -4339,52 +5971,94 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 2,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -4393,15 +6067,28 @@
             }
             #[inline]
             pub fn get_place(self) -> ::capnp::Result<crate::fleet_capnp::place::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_place(&mut self, value: crate::fleet_capnp::place::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_place(
+                &mut self,
+                value: crate::fleet_capnp::place::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_place(self, ) -> crate::fleet_capnp::place::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_place(self) -> crate::fleet_capnp::place::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
             pub fn has_place(&self) -> bool {
@@ -4412,7 +6099,7 @@
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_incarnation(&mut self, value: u64)  {
+            pub fn set_incarnation(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
@@ -4420,18 +6107,22 @@
                 self.builder.get_data_field::<u32>(2)
             }
             #[inline]
-            pub fn set_slots(&mut self, value: u32)  {
+            pub fn set_slots(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(2, value);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self {
+                    _typeless: typeless,
+                }
             }
         }
-        impl Pipeline  {
+        impl Pipeline {
             pub fn get_place(&self) -> crate::fleet_capnp::place::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
@@ -4511,19 +6202,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0xcbf5_f122_1a52_cf43;
         }
     }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -13,6 +13,7 @@
             verdict::{Denial, Heard, Sent, verdict},
         },
         request::{Incarnation, Level, Outcome, Reason, Refusal},
+        trace::Event,
     },
     async_io::Timer,
     futures::future::{Either, select},
@@ -46,6 +47,7 @@
             if !self.may_go_on(out, &mut trail, refusal) {
                 return Err(trail.conclude(refusal));
             }
+            self.trace(out.request_id, Event::Retried(refusal));
         }
     }
 
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -17,7 +17,7 @@
     },
     async_trait::async_trait,
     futures::{
-        AsyncReadExt, AsyncWriteExt,
+        AsyncReadExt, AsyncWriteExt, FutureExt,
         future::{Either, select},
     },
     http_types::headers,
@@ -25,6 +25,7 @@
     std::{
         io,
         net::{IpAddr, SocketAddr},
+        panic::AssertUnwindSafe,
         pin::pin,
         sync::{
             Arc,
@@ -62,8 +63,10 @@
     pub service: SmolStr,
     /// What the backend server is to run.
     pub request: Request,
-    /// Identity, if the caller gave one.
-    pub request_id: Option<RequestId>,
+    /// Identity.
+    pub request_id: RequestId,
+    /// Whether the caller has chosen the identity.
+    pub has_own_id: bool,
     /// Class, if the caller named one.
     pub class: Option<SmolStr>,
     /// Time in which the caller wants the answer.
@@ -149,10 +152,14 @@
 
     async fn connection(self: Arc<Self>, stream: TcpStream, app: App) {
         let _ = stream.set_nodelay(true);
-        let served = serve(&stream, &app, self.limits.read_timeout_ms).await;
-        if served.is_err() {
-            self.metrics.count("ingress.malformed");
-            refuse_malformed(stream).await;
+        let serving = AssertUnwindSafe(serve(&stream, &app, self.limits.read_timeout_ms));
+        match serving.catch_unwind().await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => {
+                self.metrics.count("ingress.malformed");
+                refuse_malformed(stream).await;
+            }
+            Err(_) => self.metrics.count("ingress.panicked"),
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -163,6 +170,7 @@
             Ok(incoming) => incoming,
             Err(refusal) => return self.refused(refusal),
         };
+        let request_id = incoming.request_id;
         let work = pin!(self.handle.handle(incoming));
         let result = match connection {
             Some(connection) => match select(work, pin!(hang_up(&connection.0))).await {
@@ -171,10 +179,12 @@
             },
             None => work.await,
         };
-        match result {
+        let mut response = match result {
             Ok(answer) => self.done(&answer),
             Err(refusal) => self.refused(refusal),
-        }
+        };
+        response.insert_header("request-id", request_id.to_string());
+        response
     }
 
     async fn incoming(&self, request: &mut tide::Request<Arc<Self>>) -> Result<Incoming, Refusal> {
@@ -192,6 +202,7 @@
             Some(call_id) => Origin::Nested(call_id),
             None => Origin::Caller(caller_ip(request)),
         };
+        let own_id = parsed(request, "request-id", parse_request_id)?;
         let inner: &http_types::Request = request.as_ref();
         Ok(Incoming {
             origin,
@@ -202,7 +213,8 @@
                 headers: end_to_end(inner),
                 body,
             },
-            request_id: parsed(request, "request-id", parse_request_id)?,
+            request_id: own_id.unwrap_or_else(|| RequestId(rand::random())),
+            has_own_id: own_id.is_some(),
             class: text(request, "request-class"),
             timeout_ms: parsed(request, "request-timeout", |text| text.parse().ok())?,
             attempt: parsed(request, "request-attempt", |text| text.parse().ok())?.unwrap_or(0),
--- a/src/local.rs
+++ b/src/local.rs
@@ -58,7 +58,7 @@
     /// Worker that runs it.
     pub incarnation: Incarnation,
     /// Ends the call when dropped.
-    pub cut: oneshot::Sender<()>,
+    pub cut: Option<oneshot::Sender<()>>,
 }
 
 /// State of the local worker.
@@ -83,6 +83,8 @@
     pub joined: HashMap<OnceKey, Vec<oneshot::Sender<Reply>>>,
     /// What the drain asks to be done.
     pub drain_actions: Vec<DrainAction>,
+    /// Ends the process.
+    pub exit: Option<oneshot::Sender<()>>,
     waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
 }
 
@@ -129,6 +131,7 @@
             running: HashMap::default(),
             joined: HashMap::default(),
             drain_actions: Vec::new(),
+            exit: None,
             waiting: HashMap::default(),
         }
     }
@@ -205,9 +208,17 @@
     }
 
     /// Cuts all calls that are running.
-    pub fn cut_all(&mut self) -> usize {
-        let cut = std::mem::take(&mut self.running);
-        cut.len()
+    pub fn cut_all(&mut self) {
+        for call in self.running.values_mut() {
+            call.cut = None;
+        }
+    }
+
+    /// Lets the process end.
+    pub fn exit(&mut self) {
+        if let Some(exit) = self.exit.take() {
+            let _ = exit.send(());
+        }
     }
 
     /// Name of the service that the worker offers.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -7,6 +7,7 @@
     let builder = FmtSubscriber::builder()
         .with_max_level(settings.level)
         .with_writer(std::io::stderr)
+        .with_ansi(false)
         .with_target(false);
     if settings.is_json {
         builder.json().init();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -80,6 +80,11 @@
         let _ = self.client.time(name, took_us / 1_000);
     }
 
+    /// Present count of one kind of event.
+    pub fn get(&self, name: &str) -> u64 {
+        self.counts.lock().get(name).copied().unwrap_or_default()
+    }
+
     /// All counters, by name.
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
         self.counts
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,21 +9,21 @@
         config::Config,
         control::enforced::Live,
         directory::Directory,
-        ingress::{Handle, Incoming},
+        ingress::{Handle, Incoming, Origin},
         local::{Local, LocalRules, Now},
         metrics::Metrics,
         policy::{
             bind::{BindLimits, Binder},
             once::OnceLimits,
             paths::PathLevels,
-            retry::CallerRatio,
-            retry::RetryRatio,
+            retry::{AccountKey, CallerRatio, RetryRatio},
             shed::GateRules,
             suspect::SuspectLimits,
         },
-        request::{Refusal, ServiceName},
+        request::{Refusal, RequestId, ServiceName},
         settings::{PolicyKind, Settings},
         store::Store,
+        trace::{Event, Traces},
     },
     async_trait::async_trait,
     parking_lot::Mutex,
@@ -66,6 +66,8 @@
     pub ratios: Mutex<HashMap<ServiceName, RetryRatio>>,
     /// Bindings of callers' own keys.
     pub binder: Binder,
+    /// What became of recent requests.
+    pub traces: Mutex<Traces>,
     /// Randomness.
     pub rng: Mutex<ChaCha8Rng>,
 }
@@ -117,6 +119,7 @@
             nested_paths: Mutex::default(),
             ratios: Mutex::default(),
             binder,
+            traces: Mutex::default(),
             rng: Mutex::new(rng),
         })
     }
@@ -166,31 +169,76 @@
 #[async_trait]
 impl Handle for Arc<Node> {
     async fn handle(&self, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
+        let request_id = incoming.request_id;
+        let is_nested = matches!(incoming.origin, Origin::Nested(_));
+        let result = self.answer(incoming).await;
+        if !is_nested {
+            let event = match &result {
+                Ok(answer) => Event::Answered {
+                    status: answer.status,
+                },
+                Err(refusal) => Event::Refused(*refusal),
+            };
+            self.trace(request_id, event);
+        }
+        result
+    }
+
+    async fn ticket(&self, service: SmolStr) -> Result<SmolStr, Refusal> {
+        let ticket = self.mint(&service)?;
+        Ok(ticket.to_string().into())
+    }
+}
+
+impl Node {
+    async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
+        let _relay = Relay::enter(self)?;
         let mut out = self.enter(incoming, self.clock.now_us())?;
-        let _account = out.parent.is_none().then(|| AccountGuard {
+        let _account = out.parent.is_none().then(|| Opened {
             node: self,
-            out: out.account,
+            account: out.account,
         });
-        if out.needs_ticket() {
+        if out.needs_ticket() && !self.is_baseline() {
             self.bind(&mut out).await?;
         }
         self.forward(&out).await
     }
 
-    async fn ticket(&self, service: SmolStr) -> Result<SmolStr, Refusal> {
-        let ticket = self.mint(&service)?;
-        Ok(ticket.to_string().into())
+    /// Records what happened to a request.
+    pub fn trace(&self, request_id: RequestId, event: Event) {
+        let now_unix_ms = self.clock.now_unix_ms();
+        self.traces.lock().add(request_id, event, now_unix_ms);
     }
 }
 
-/// Closes the account of a caller's request, however it ends.
-struct AccountGuard<'a> {
+/// Account of a caller's request; closed however the request ends.
+struct Opened<'a> {
     node: &'a Node,
-    out: crate::policy::retry::AccountKey,
+    account: AccountKey,
+}
+
+impl Drop for Opened<'_> {
+    fn drop(&mut self) {
+        self.node.local.lock().accounts.close(self.account);
+    }
+}
+
+/// A request that the daemon passes on; it does not end before them.
+struct Relay<'a> {
+    node: &'a Node,
+}
+
+impl<'a> Relay<'a> {
+    fn enter(node: &'a Node) -> Result<Self, Refusal> {
+        node.local.lock().drain.enter_relay()?;
+        Ok(Self { node })
+    }
 }
 
-impl Drop for AccountGuard<'_> {
+impl Drop for Relay<'_> {
     fn drop(&mut self) {
-        self.node.local.lock().accounts.close(self.out);
+        let mut local = self.node.local.lock();
+        let actions = local.drain.leave_relay();
+        local.drain_actions.extend(actions);
     }
 }
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,44 +1,22 @@
 //! Operators' HTTP: statements and the state of the process on request.
 
 use {
-    crate::{cmd::CommandError, settings::Token},
+    crate::{
+        ask::{executor::Executor, route, secret::Secret},
+        cmd::CommandError,
+    },
     async_h1::client,
     async_std::{net::TcpStream, task},
-    async_trait::async_trait,
     http_types::{Method, Request, Url},
+    serde_json::Value,
     smol_str::ToSmolStr,
-    std::{io, net::SocketAddr, sync::Arc},
+    std::{fmt::Write, io, net::SocketAddr, sync::Arc},
 };
 
-/// Header that carries the operators' token.
-const TOKEN_HEADER: &str = "operator-token";
-
-/// Largest body of statements.
-const MAX_STATEMENTS_BYTES: usize = 1 << 20;
-
-/// Answer to an operator.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Reply {
-    /// Whether the statements were carried out.
-    pub is_done: bool,
-    /// What the operator reads.
-    pub text: String,
-}
-
-/// What answers operators.
-#[async_trait]
-pub trait Operate: Send + Sync {
-    /// Carries out statements.
-    async fn ask(&self, statements: &str, as_json: bool) -> Reply;
-
-    /// Describes the state of the process.
-    fn dump(&self, as_json: bool) -> String;
-}
-
-#[derive(Clone)]
-struct State {
-    operate: Arc<dyn Operate>,
-    token: Option<Token>,
+/// What a daemon shows of itself.
+pub trait Describe: Send + Sync {
+    /// State of the process, with units in the names.
+    fn describe(&self) -> Value;
 }
 
 /// Serves operators until the listener fails.
@@ -48,77 +26,65 @@
 /// Fails when connections can no longer be accepted.
 pub async fn listen(
     addr: SocketAddr,
-    operate: Arc<dyn Operate>,
-    token: Option<Token>,
+    executor: Arc<Executor>,
+    describe: Arc<dyn Describe>,
 ) -> io::Result<()> {
-    let mut app = tide::with_state(State { operate, token });
-    app.at("/ask").post(ask);
-    app.at("/dump").get(dump);
+    let mut app = route::app(executor);
+    app.at(DUMP_PATH)
+        .get(move |request: tide::Request<Arc<Executor>>| {
+            let describe = Arc::clone(&describe);
+            async move { Ok(dump(&request, describe.as_ref())) }
+        });
     app.listen(addr).await
 }
 
-async fn ask(mut request: tide::Request<State>) -> tide::Result {
-    if !is_allowed(&request) {
-        return Ok(forbidden());
+fn dump(request: &tide::Request<Arc<Executor>>, describe: &dyn Describe) -> tide::Response {
+    if !request.state().admits(route::token(request)) {
+        return tide::Response::new(tide::StatusCode::Forbidden);
     }
-    if request
-        .len()
-        .is_none_or(|size_bytes| size_bytes > MAX_STATEMENTS_BYTES)
-    {
-        return Ok(tide::Response::new(tide::StatusCode::PayloadTooLarge));
+    let state = describe.describe();
+    if route::wants_json(request) {
+        return tide::Response::builder(tide::StatusCode::Ok)
+            .body(state)
+            .build();
     }
-    let statements = request.body_string().await?;
-    let reply = request
-        .state()
-        .operate
-        .ask(&statements, wants_json(&request))
-        .await;
-    let status = if reply.is_done {
-        tide::StatusCode::Ok
-    } else {
-        tide::StatusCode::UnprocessableEntity
-    };
-    Ok(tide::Response::builder(status).body(reply.text).build())
+    let mut text = String::new();
+    write_tree(&state, 0, &mut text);
+    text.into()
 }
 
-async fn dump(request: tide::Request<State>) -> tide::Result {
-    if !is_allowed(&request) {
-        return Ok(forbidden());
+/// Writes a value as an indented tree of `name: value` lines.
+fn write_tree(value: &Value, depth: usize, text: &mut String) {
+    let indent = "  ".repeat(depth);
+    let entries: Vec<(String, &Value)> = match value {
+        Value::Object(fields) => fields
+            .iter()
+            .map(|(name, value)| (name.clone(), value))
+            .collect(),
+        Value::Array(items) => items
+            .iter()
+            .enumerate()
+            .map(|(index, value)| (index.to_string(), value))
+            .collect(),
+        _ => return,
+    };
+    for (name, value) in entries {
+        if value.is_object() || value.is_array() {
+            let _ = writeln!(text, "{indent}{name}:");
+            write_tree(value, depth + 1, text);
+        } else {
+            let _ = writeln!(text, "{indent}{name}: {value}");
+        }
     }
-    Ok(request.state().operate.dump(wants_json(&request)).into())
-}
-
-fn is_allowed(request: &tide::Request<State>) -> bool {
-    let shown = request
-        .header(TOKEN_HEADER)
-        .map_or("", |values| values.last().as_str());
-    request
-        .state()
-        .token
-        .as_ref()
-        .is_none_or(|token| token.matches(shown))
-}
-
-fn forbidden() -> tide::Response {
-    let body = format!("the header {TOKEN_HEADER} does not show the operators' token\n");
-    tide::Response::builder(tide::StatusCode::Unauthorized)
-        .body(body)
-        .build()
-}
-
-fn wants_json(request: &tide::Request<State>) -> bool {
-    request
-        .header("accept")
-        .is_some_and(|accept| accept.last().as_str() == JSON)
 }
 
-const JSON: &str = "application/json";
+const DUMP_PATH: &str = "/dump";
 
 /// Operator's side of the protocol.
 #[derive(Debug)]
 pub struct Client {
     daemon: SocketAddr,
-    token: Option<String>,
+    token: Option<Secret>,
 }
 
 impl Client {
@@ -135,7 +101,10 @@
                 .map_err(|error| CommandError::Refused {
                     detail: format!("token: {error}"),
                 })?;
-        Ok(Self { daemon, token })
+        Ok(Self {
+            daemon,
+            token: token.map(Secret::new),
+        })
     }
 
     /// Has statements carried out.
@@ -144,7 +113,7 @@
     ///
     /// Fails if the daemon cannot be reached or refuses the statements.
     pub fn ask(&self, statements: &str, as_json: bool) -> Result<String, CommandError> {
-        let mut request = self.request(Method::Post, "/ask", as_json);
+        let mut request = self.request(Method::Post, route::ASK_PATH, as_json);
         request.set_body(statements);
         task::block_on(self.exchange(request))
     }
@@ -155,7 +124,7 @@
     ///
     /// Fails if the daemon cannot be reached or refuses.
     pub fn dump(&self, as_json: bool) -> Result<String, CommandError> {
-        task::block_on(self.exchange(self.request(Method::Get, "/dump", as_json)))
+        task::block_on(self.exchange(self.request(Method::Get, DUMP_PATH, as_json)))
     }
 
     fn request(&self, method: Method, path: &str, as_json: bool) -> Request {
@@ -164,10 +133,10 @@
         let mut request = Request::new(method, url);
         request.insert_header("connection", "close");
         if as_json {
-            request.insert_header("accept", JSON);
+            request.insert_header("accept", route::JSON);
         }
         if let Some(token) = &self.token {
-            request.insert_header(TOKEN_HEADER, token.as_str());
+            request.insert_header("authorization", format!("Bearer {}", token.reveal()));
         }
         request
     }
--- a/src/policy/once.rs
+++ b/src/policy/once.rs
@@ -14,6 +14,7 @@
         collections::HashMap,
         request::{Incarnation, Reason},
     },
+    serde::Serialize,
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::{BTreeSet, VecDeque},
@@ -90,7 +91,7 @@
 }
 
 /// Counts for metrics and dumps.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
 pub struct OnceReport {
     /// Records kept.
     pub entries: usize,
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -22,7 +22,17 @@
 
 /// Hash of a request's service, method, path and body; the same in all processes of one release.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize
 )]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
@@ -37,7 +47,17 @@
 
 /// Whether a request is held to have caused a death; the later mark holds.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize
 )]
 pub enum Mark {
     /// It was in flight at the death.
@@ -68,7 +88,17 @@
 
 /// How a request may be run. Of an ingress's verdict and a gate's, the greater one holds.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize
 )]
 pub enum SuspectVerdict {
     /// Like any other.
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -11,7 +11,8 @@
         task,
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
-    std::{io, rc::Rc, sync::Arc},
+    futures::FutureExt,
+    std::{io, panic::AssertUnwindSafe, rc::Rc, sync::Arc},
 };
 
 struct Peer {
@@ -25,7 +26,10 @@
         mut results: peer::CallResults,
     ) -> Result<(), capnp::Error> {
         let call = Call::read(params.get()?.get_call()?)?;
-        let reply = self.serve.serve(call).await;
+        let serving = AssertUnwindSafe(self.serve.serve(call)).catch_unwind();
+        let reply = serving
+            .await
+            .map_err(|_| capnp::Error::failed("the call panicked".into()))?;
         reply.write(results.get().init_reply());
         Ok(())
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,6 +14,7 @@
             verdict::Denial,
         },
         request::{Incarnation, Level, Outcome, Reason, Refusal},
+        trace::Event,
     },
     async_std::task,
     async_trait::async_trait,
@@ -127,7 +128,11 @@
     async fn run(self, once: Option<OnceKey>) -> Reply {
         let mut slot = match self.slot().await {
             Ok(slot) => slot,
-            Err(refusal) => return self.refuse(once, refusal),
+            Err(refusal) => {
+                self.node
+                    .trace(self.call.request_id, Event::TurnedAway(refusal));
+                return self.refuse(once, refusal);
+            }
         };
         let Some((started, cut)) = self.start(&mut slot, once) else {
             return self.refuse(once, Refusal::not_run(Reason::Cancelled));
@@ -247,7 +252,7 @@
             path_level: Level::OPEN,
             fingerprint: self.fingerprint,
             incarnation: call.incarnation,
-            cut,
+            cut: Some(cut),
         };
         local.running.insert(call_id, running);
         slot.call_id = Some(call_id);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,10 @@
 //! Every fault of a file is reported at once, each with its section, key and line.
 
 use {
-    crate::place::{DataCentre, Place, Region},
+    crate::{
+        ask::secret::Secret,
+        place::{DataCentre, Place, Region},
+    },
     derive_more::{Display, Error},
     ini::{Ini, Properties},
     smol_str::SmolStr,
@@ -65,7 +68,7 @@
     /// Bounds on input and memory.
     pub limits: Limits,
     /// Operators' token, if one is required.
-    pub token: Option<Token>,
+    pub token: Option<Secret>,
     /// Which policy decides.
     pub policy: PolicyKind,
 }
@@ -142,31 +145,6 @@
     Baseline,
 }
 
-/// Operators' token; never shown.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Token(SmolStr);
-
-impl Token {
-    /// Compares in a time that does not depend on where the texts differ.
-    pub fn matches(&self, shown: &str) -> bool {
-        let ours = self.0.as_bytes();
-        let theirs = shown.as_bytes();
-        let differing = ours
-            .iter()
-            .zip(theirs.iter().chain(std::iter::repeat(&0)))
-            .fold(ours.len() ^ theirs.len(), |acc, (a, b)| {
-                acc | usize::from(a ^ b)
-            });
-        differing == 0
-    }
-}
-
-impl fmt::Debug for Token {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("Token(hidden)")
-    }
-}
-
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 #[display("line {line}: [{section}] {key}: {detail}")]
@@ -240,7 +218,7 @@
         let log = self.log();
         let metrics = self.metrics();
         let limits = self.limits();
-        let token = self.token();
+        let token = self.token(listen);
         let policy = self.policy();
         Some(Settings {
             place: place?,
@@ -374,7 +352,7 @@
         }
     }
 
-    fn token(&mut self) -> Option<Token> {
+    fn token(&mut self, listen: Option<Listen>) -> Option<Secret> {
         let written = self.value("operators", "token").map(SmolStr::from);
         let variable = self.value("operators", "token-env").map(str::to_owned);
         match (written, variable) {
@@ -394,19 +372,26 @@
                 );
                 None
             }
-            (Some(text), None) => Some(Token(text)),
+            (Some(text), None) => Some(Secret::new(text)),
             (None, Some(name)) => self.token_from_env(&name),
-            (None, None) => None,
+            (None, None) => {
+                let is_exposed = listen.is_some_and(|it| !it.operators_addr.ip().is_loopback());
+                if is_exposed {
+                    let detail = "missing; only a loopback address goes without".to_owned();
+                    self.fault("operators", "token", detail);
+                }
+                None
+            }
         }
     }
 
-    fn token_from_env(&mut self, name: &str) -> Option<Token> {
+    fn token_from_env(&mut self, name: &str) -> Option<Secret> {
         let found = std::env::var(name).ok().filter(|text| !text.is_empty());
         if found.is_none() {
             let detail = format!("environment variable {name} is not set");
             self.fault("operators", "token-env", detail);
         }
-        found.map(|text| Token(text.into()))
+        found.map(Secret::new)
     }
 
     fn policy(&mut self) -> Option<PolicyKind> {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -37,9 +37,9 @@
 const SUSPECTS_MS: u64 = 500;
 
 /// The fleet, as configuration control sees it.
-pub struct View(pub Arc<Mutex<Fleet>>);
+pub struct FleetView(pub Arc<Mutex<Fleet>>);
 
-impl Members for View {
+impl Members for FleetView {
     fn members(&self) -> Vec<SmolStr> {
         let fleet = self.0.lock();
         let own = fleet.me().place.name.clone();
@@ -52,7 +52,7 @@
     }
 }
 
-impl Confirmations for View {
+impl Confirmations for FleetView {
     fn lagging(&self, revision: Revision) -> Vec<SmolStr> {
         let fleet = self.0.lock();
         let own = fleet
--- /dev/null
+++ b/src/tasks.rs
@@ -0,0 +1,198 @@
+//! Tree of the long tasks of one daemon.
+
+use {
+    crate::{
+        announce,
+        ask::executor::Executor,
+        control::reader,
+        daemon::CallsEnded,
+        directory::FleetDirectory,
+        dump::Dump,
+        fleet::{Fleet, udp::Gossip},
+        ingress::Ingress,
+        local::Loss,
+        node::Node,
+        operators,
+        policy::drain::DrainAction,
+        supervisor::{Supervisor, TaskError},
+        sync::{self, FleetView},
+    },
+    async_io::Timer,
+    futures::FutureExt,
+    parking_lot::Mutex,
+    rand::RngExt,
+    std::{io, sync::Arc, time::Duration},
+};
+
+/// Interval at which queues, drains and worker lapses are looked at.
+const TICK_MS: u64 = 10;
+
+/// Interval at which what is no longer needed is dropped.
+const SWEEP_MS: u64 = 1_000;
+
+/// Records of non-idempotent requests dropped in one sweep.
+const SWEEP_RECORDS: usize = 2_000;
+
+/// What the tasks work on.
+pub struct Tasks {
+    /// Shared state.
+    pub node: Arc<Node>,
+    /// View of the fleet.
+    pub fleet: Arc<Mutex<Fleet>>,
+    /// Gossip socket.
+    pub gossip: Gossip,
+    /// Choice of workers.
+    pub directory: Arc<FleetDirectory>,
+    /// Operators' language.
+    pub executor: Arc<Executor>,
+    /// State of the process on request.
+    pub dump: Arc<Dump>,
+}
+
+/// Builds the tree: requests and the fleet are branches that fail and restart apart.
+pub fn supervise(tasks: Tasks, calls: CallsEnded) -> Supervisor {
+    let metrics = Arc::clone(&tasks.node.metrics);
+    let tasks = Arc::new(tasks);
+    let mut root = Supervisor::new(metrics);
+    let branch = Arc::clone(&tasks);
+    root.add("requests", move || request_tasks(&branch).run().map(Err));
+    root.add("fleet", move || fleet_tasks(&tasks).run().map(Err));
+    root.add("calls", move || {
+        calls
+            .clone()
+            .map(|_| Err(TaskError::new("calls", &"its thread has ended")))
+    });
+    root
+}
+
+fn request_tasks(tasks: &Arc<Tasks>) -> Supervisor {
+    let node = &tasks.node;
+    let listen = node.settings.listen;
+    let limits = node.settings.limits;
+    let mut branch = Supervisor::new(Arc::clone(&node.metrics));
+    let ingress = Ingress::new(
+        Arc::new(Arc::clone(node)),
+        Arc::clone(&node.metrics),
+        limits,
+    );
+    branch.add("ingress", move || {
+        Arc::clone(&ingress)
+            .listen(listen.callers_addr)
+            .map(|ended| named("ingress", ended))
+    });
+    let worker = Arc::clone(node);
+    branch.add("announce", move || {
+        announce::listen(listen.worker_addr, Arc::clone(&worker))
+            .map(|ended| named("announce", ended))
+    });
+    let operators = Arc::clone(tasks);
+    branch.add("operators", move || {
+        let executor = Arc::clone(&operators.executor);
+        let dump = Arc::clone(&operators.dump) as _;
+        operators::listen(listen.operators_addr, executor, dump)
+            .map(|ended| named("operators", ended))
+    });
+    let ticked = Arc::clone(node);
+    branch.add("tick", move || tick(Arc::clone(&ticked)));
+    let swept = Arc::clone(tasks);
+    branch.add("sweep", move || sweep(Arc::clone(&swept)));
+    branch
+}
+
+fn fleet_tasks(tasks: &Arc<Tasks>) -> Supervisor {
+    let mut branch = Supervisor::new(Arc::clone(&tasks.node.metrics));
+    let (node, fleet, gossip) = (
+        Arc::clone(&tasks.node),
+        Arc::clone(&tasks.fleet),
+        tasks.gossip.clone(),
+    );
+    branch.add("gossip", move || sync::gossip(gossip.clone()));
+    let (publisher, view) = (Arc::clone(&node), Arc::clone(&fleet));
+    branch.add("publish", move || {
+        sync::publish(Arc::clone(&publisher), Arc::clone(&view))
+    });
+    let (follower, view) = (Arc::clone(&node), Arc::clone(&fleet));
+    branch.add("follow", move || {
+        sync::follow(Arc::clone(&follower), Arc::clone(&view))
+    });
+    let (seeker, view) = (Arc::clone(&node), Arc::clone(&fleet));
+    branch.add("seek", move || {
+        sync::seek(Arc::clone(&seeker), Arc::clone(&view))
+    });
+    branch.add("reader", move || {
+        read_config(Arc::clone(&node), Arc::clone(&fleet))
+    });
+    branch
+}
+
+fn named(task: &'static str, ended: io::Result<()>) -> Result<(), TaskError> {
+    ended.map_err(|error| TaskError::new(task, &error))
+}
+
+/// Reads the configuration from the store, as far as this daemon is in charge of it.
+async fn read_config(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+    let own = node.settings.place.name.clone();
+    let (store, live) = (Arc::clone(&node.store), Arc::clone(&node.live));
+    let clock = Arc::clone(&node.clock);
+    let seed = node.rng.lock().random();
+    reader::run(own, store, live, Arc::new(FleetView(fleet)), clock, seed).await;
+    Ok(())
+}
+
+async fn tick(node: Arc<Node>) -> Result<(), TaskError> {
+    loop {
+        Timer::after(Duration::from_millis(TICK_MS)).await;
+        node.tick();
+    }
+}
+
+async fn sweep(tasks: Arc<Tasks>) -> Result<(), TaskError> {
+    loop {
+        Timer::after(Duration::from_millis(SWEEP_MS)).await;
+        let now = tasks.node.now();
+        tasks.directory.sweep(now.us);
+        tasks.node.edge_paths.lock().expire(now.us);
+        tasks.node.nested_paths.lock().expire(now.us);
+        tasks
+            .node
+            .local
+            .lock()
+            .once
+            .sweep(now.unix_ms, SWEEP_RECORDS);
+    }
+}
+
+impl Node {
+    /// Lets time pass for the local worker.
+    fn tick(&self) {
+        let now = self.now();
+        let stop_limit_ms = self.config().rules.stop_limit_ms;
+        let mut local = self.local.lock();
+        let mut actions = Vec::new();
+        local.gate.tick(now.us, &mut actions);
+        local.apply(actions);
+        let drain_actions = local.drain.tick(stop_limit_ms, now.us);
+        local.drain_actions.extend(drain_actions);
+        for action in std::mem::take(&mut local.drain_actions) {
+            self.metrics.count("drain.step");
+            tracing::info!(%action, "drain");
+            match action {
+                DrainAction::Cut { .. } => local.cut_all(),
+                DrainAction::Exit => local.exit(),
+                // The backend server reads its standing, and the fleet the worker's record.
+                DrainAction::AnnounceLeaving
+                | DrainAction::AnnounceServing
+                | DrainAction::ReleaseStop => {}
+            }
+        }
+        let lapsed = local
+            .worker
+            .as_ref()
+            .filter(|worker| worker.has_lapsed(now.us));
+        if let Some(incarnation) = lapsed.map(|worker| worker.incarnation) {
+            local.lose_worker(incarnation, Loss::Silence, now);
+            self.metrics.count("worker.silent");
+            tracing::warn!(%incarnation, "backend server has fallen silent");
+        }
+    }
+}
--- a/tests/ask_page.rs
+++ b/tests/ask_page.rs
@@ -127,7 +127,7 @@
     let store = Arc::new(MemoryStore::new(Arc::clone(&clock)));
     let committer = Committer::new(store, Arc::clone(&live), Arc::new(NoneLagging), clock);
     let view = Arc::new(FixedView(Arc::clone(&live)));
-    let executor = Executor::new(view, Arc::new(committer), Secret::new(TOKEN));
+    let executor = Executor::new(view, Arc::new(committer), Some(Secret::new(TOKEN)));
     (executor, live)
 }
 
