Discount what arrives above the level

Cause: after a slow phase with resends the level stayed closed for more than two seconds while slots idled, since refused callers that come again looked like demand. Change: the estimate above the level is discounted while slots idle, idle slots add to the budget, and a refused arrival takes the place of less important waiting work.

--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -200,7 +200,11 @@
         if let Err(reason) = self.check(arrival, now_us) {
             return Offer::Refused(self.refusal(reason, now_us));
         }
+        if !self.admits(arrival.rank) {
+            return Offer::Refused(self.refusal(Reason::Overload, now_us));
+        }
         let key = self.enqueue(arrival);
+        self.exchange(arrival.rank, now_us, actions);
         self.pump(now_us, actions);
         self.evict(now_us, actions);
         Self::resolve(key, actions)
@@ -286,12 +290,25 @@
         if !self.in_time(arrival.deadline_us, wait_us, now_us) {
             return Err(Reason::Deadline);
         }
-        if !self.level().admits(arrival.rank) {
-            return Err(Reason::Overload);
-        }
         Ok(())
     }
 
+    /// Tells whether the level admits the rank, or something less important waits that can give
+    /// up its place.
+    fn admits(&self, rank: Rank) -> bool {
+        self.level().admits(rank) || self.queue.worst().is_some_and(|worst| worst.rank() > rank)
+    }
+
+    /// Gives up the least important waiting work for an arrival that the level does not admit.
+    fn exchange(&mut self, rank: Rank, now_us: u64, actions: &mut Vec<Action>) {
+        if self.level().admits(rank) {
+            return;
+        }
+        if let Some(worst) = self.queue.worst() {
+            self.drop_queued(worst, Reason::Overload, now_us, actions);
+        }
+    }
+
     /// Time until all more important waiting work has started, at least.
     fn wait_us(&self, importance: Importance) -> u64 {
         let Some(above) = importance.0.checked_sub(1) else {
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -5,8 +5,10 @@
 //! backend server; if it does not, they are real. A service that becomes slow at every limit keeps
 //! its limit.
 
-/// Samples that one epoch compares.
-const EPOCH_SAMPLES: u32 = 256;
+/// Samples that one epoch compares, for each slot of the limit, and their bounds.
+const EPOCH_SAMPLES_PER_SLOT: u32 = 8;
+const EPOCH_SAMPLES_MIN: u32 = 64;
+const EPOCH_SAMPLES_MAX: u32 = 256;
 
 /// Longest epoch; a trial that takes longer is abandoned.
 const EPOCH_MAX_US: u64 = 10_000_000;
@@ -39,7 +41,7 @@
 const FAILED_SHARE: f64 = 0.05;
 
 /// Epochs between trials at first.
-const WAIT_MIN: u32 = 8;
+const WAIT_MIN: u32 = 2;
 
 /// Epochs between trials while nothing changes.
 const WAIT_MAX: u32 = 64;
@@ -54,7 +56,7 @@
 const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 
 /// Weight of a sample below the expected latency.
-const FALL_WEIGHT: f64 = 0.25;
+const FALL_WEIGHT: f64 = 0.5;
 
 /// Weight of a sample above the expected latency.
 const RISE_WEIGHT: f64 = 1.0 / 32.0;
@@ -263,13 +265,18 @@
             return;
         }
         self.epoch.add(sample, now_us);
-        if self.epoch.samples() >= EPOCH_SAMPLES {
+        if self.epoch.samples() >= self.epoch_samples() {
             self.close_epoch(now_us);
         } else if now_us - self.epoch.opened_us > EPOCH_MAX_US {
             self.rest(self.wait, now_us);
         }
     }
 
+    fn epoch_samples(&self) -> u32 {
+        let samples = self.base as u32 * EPOCH_SAMPLES_PER_SLOT;
+        samples.clamp(EPOCH_SAMPLES_MIN, EPOCH_SAMPLES_MAX)
+    }
+
     fn close_epoch(&mut self, now_us: u64) {
         let epoch = self.epoch;
         let result = epoch.result();
--- a/src/policy/shed.rs
+++ b/src/policy/shed.rs
@@ -1,8 +1,9 @@
 //! Admission level of one gate, from queueing delay and the ranks of arrivals.
 //!
-//! In each short window it finds the rank up to which arrivals fit the measured capacity. Arrivals
-//! that edges refuse are not seen here: for ranks above the level the last estimate is kept, and
-//! shrinks while slots idle, so that the level opens geometrically.
+//! In each short window it finds the rank up to which arrivals fit the measured capacity. What
+//! arrives above the level says little about demand: edges refuse some of it before it comes here,
+//! and callers send some of it again and again. Its estimate is therefore discounted more and more
+//! while slots idle, so that the level opens geometrically.
 
 use crate::{
     config::Rules,
@@ -33,6 +34,12 @@
 /// Part of its estimate above which what is above the level counts as seen.
 const SEEN_SHARE: f64 = 0.5;
 
+/// Factor by which a discount is taken back in a window with a long queue.
+const DISCOUNT_RECOVERY: f64 = 1.5;
+
+/// Smallest discount factor.
+const DISCOUNT_MIN: f64 = 1e-6;
+
 /// Estimate of one importance below which it counts as absent.
 const ABSENT: f64 = 0.001;
 
@@ -42,7 +49,7 @@
 /// Smallest part of capacity that is admitted while a queue drains.
 const DRAIN_SHARE_MIN: f64 = 0.4;
 
-/// Largest part of capacity that is admitted to fill a queue.
+/// Largest part of capacity that is admitted to fill a queue; idle slots come on top.
 const FILL_SHARE_MAX: f64 = 1.25;
 
 /// Bounds of the target queueing delay.
@@ -63,7 +70,8 @@
     pub target_latencies: f64,
     /// Longest queue, in mean latencies.
     pub queue_latencies: f64,
-    /// Part by which the estimate of unseen arrivals shrinks in a window with idle slots.
+    /// Part by which the estimate above the level shrinks in a window while all slots idle; with
+    /// some idle slots, that share of it.
     pub idle_opening: f64,
     /// Part by which it shrinks in a window with a short queue.
     pub busy_opening: f64,
@@ -77,7 +85,7 @@
         Self {
             target_latencies: between(1.0, 0.25),
             queue_latencies: between(6.0, 2.0),
-            idle_opening: between(0.05, 0.2),
+            idle_opening: between(0.15, 0.45),
             busy_opening: between(0.01, 0.03),
         }
     }
@@ -108,8 +116,10 @@
         self.queued as u64 * self.latency_us / u64::from(self.limit.max(1))
     }
 
-    fn idle(&self) -> bool {
-        self.queued == 0 && self.in_flight < self.limit as usize
+    /// Slots that nothing waits for.
+    fn idle(&self) -> usize {
+        let taken = self.in_flight + self.queued;
+        (self.limit as usize).saturating_sub(taken)
     }
 
     fn capacity(&self) -> f64 {
@@ -126,6 +136,7 @@
     estimate: Vec<f64>,
     window_us: u64,
     demand: f64,
+    discount: f64,
 }
 
 impl LevelControl {
@@ -138,6 +149,7 @@
             estimate: Vec::new(),
             window_us: 0,
             demand: 0.0,
+            discount: 1.0,
         }
     }
 
@@ -202,18 +214,31 @@
         let weight = 1.0 - (1.0 - one).powi(windows);
         let border = self.border();
         let unseen = self.unseen(border, windows);
-        let keep = (1.0 - self.opening(load)).powi(windows);
         let cells = self.estimate.iter_mut().zip(&mut self.arrived);
         for (cell, (estimate, arrived)) in cells.enumerate() {
             let seen = f64::from(*arrived) / f64::from(windows);
             *arrived = 0;
-            if cell >= border && unseen {
-                *estimate *= keep;
-            } else {
+            if cell < border || !unseen {
                 *estimate += (seen - *estimate) * weight;
             }
         }
         self.demand = self.estimate.iter().sum();
+        self.update_discount(load, windows);
+    }
+
+    fn update_discount(&mut self, load: Load, windows: i32) {
+        if self.level == Level::OPEN {
+            self.discount = 1.0;
+            return;
+        }
+        let factor = if load.delay_us() as f64 > self.target_us(load.latency_us) {
+            DISCOUNT_RECOVERY
+        } else {
+            let idle_share = load.idle() as f64 / f64::from(load.limit.max(1));
+            1.0 - self.rules.busy_opening - self.rules.idle_opening * idle_share
+        };
+        let discount = self.discount * factor.powi(windows);
+        self.discount = discount.clamp(DISCOUNT_MIN, 1.0);
     }
 
     /// First cell that is wholly refused.
@@ -231,16 +256,6 @@
         f64::from(arrived) < SEEN_SHARE * estimated * f64::from(windows)
     }
 
-    fn opening(&self, load: Load) -> f64 {
-        if load.idle() {
-            self.rules.idle_opening
-        } else if (load.delay_us() as f64) < self.target_us(load.latency_us) {
-            self.rules.busy_opening
-        } else {
-            0.0
-        }
-    }
-
     fn decide(&self, load: Load) -> Level {
         let target_us = self.target_us(load.latency_us);
         let excess_us = load.delay_us() as f64 - target_us;
@@ -249,14 +264,21 @@
         }
         let drain_us = DRAIN_MIN_US.max(2.0 * load.latency_us as f64);
         let share = (1.0 - excess_us / drain_us).clamp(DRAIN_SHARE_MIN, FILL_SHARE_MAX);
-        let level = self.fitting(load.capacity() * share);
+        let budget = load.capacity() * share + load.idle() as f64;
+        let level = self.fitting(budget);
         level.max(Level(self.floor()))
     }
 
     /// Highest level whose estimated arrivals fit the budget.
     fn fitting(&self, budget: f64) -> Level {
         let mut left = budget;
+        let border = self.border();
         for (cell, &estimate) in self.estimate.iter().enumerate() {
+            let estimate = if cell < border {
+                estimate
+            } else {
+                estimate * self.discount
+            };
             if estimate > left {
                 let ranks = left.max(0.0) / estimate * RANKS_PER_CELL as f64;
                 return Level((cell * RANKS_PER_CELL) as u32 + ranks as u32);
