--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -103,7 +103,7 @@
             return;
         }
         if generation > self.me.generation {
-            self.me.generation = Generation(generation.0 + 1);
+            self.me.generation = Generation(generation.0.saturating_add(1));
             self.announce_body();
             self.events.push(Event::Renewed);
             return;
@@ -176,6 +176,7 @@
             changed_us: now_us,
             rtt_us: None,
             failed_us: None,
+            checked: false,
         });
         self.by_generation.insert(member.generation.0, key);
         self.by_name.insert(member.place.name.clone(), key);
@@ -223,8 +224,10 @@
         let generation = after.generation.0;
         let urgency = urgency_of(before, after);
         let event = Event::of_change(before, after);
-        if before.status != after.status {
+        // A suspicion of a later version is a new one, even if the refutation between was lost.
+        if before.status != after.status || before.version != after.version {
             peer.changed_us = now_us;
+            peer.checked = false;
         }
         let (was_live, is_live) = (before.status.is_live(), after.status.is_live());
         let subject = if before.body_version == after.body_version {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -54,6 +54,8 @@
     pub probe_interval_us: u64,
     /// Time after which a probe goes through other members.
     pub probe_timeout_us: u64,
+    /// Time after which a probe without an answer has failed.
+    pub probe_limit_us: u64,
     /// Time that a suspect has for its refutation.
     pub suspicion_us: u64,
     /// Time between two rounds of news.
@@ -77,8 +79,9 @@
 impl Default for FleetRules {
     fn default() -> Self {
         Self {
-            probe_interval_us: 1_000_000,
+            probe_interval_us: 500_000,
             probe_timeout_us: 300_000,
+            probe_limit_us: 1_000_000,
             suspicion_us: 4_000_000,
             gossip_interval_us: 200_000,
             gossip_fanout: 2,
@@ -109,6 +112,7 @@
     changed_us: u64,
     rtt_us: Option<u32>,
     failed_us: Option<u64>,
+    checked: bool,
 }
 
 /// View of one daemon of the whole fleet.
@@ -311,14 +315,14 @@
     }
 
     fn announce_body(&mut self) {
-        self.me.version += 1;
+        self.me.version = self.me.version.saturating_add(1);
         self.me.body_version = self.me.version;
         let subject = Subject::Member(self.me.generation.0);
         self.news.push(subject, Urgency::High, self.live);
     }
 
     fn announce_light(&mut self, urgency: Urgency) {
-        self.me.version += 1;
+        self.me.version = self.me.version.saturating_add(1);
         let subject = Subject::Light(self.me.generation.0);
         self.news.push(subject, urgency, self.live);
     }
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -115,6 +115,6 @@
     match urgency {
         Urgency::Low => LOW_SENDS.min(log + 1),
         Urgency::Normal => log + 1,
-        Urgency::High => log + 2,
+        Urgency::High => log + 4,
     }
 }
--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -181,7 +181,7 @@
         let mut silent = Vec::new();
         for probe in &mut self.probes.under_way {
             let age_us = now_us.saturating_sub(probe.sent_us);
-            if age_us >= self.rules.probe_interval_us {
+            if age_us >= self.rules.probe_limit_us {
                 failed.push(probe.sequence);
             } else if age_us >= self.rules.probe_timeout_us && !probe.relayed {
                 probe.relayed = true;
@@ -245,6 +245,7 @@
         let origin = self.me.generation;
         let mut ack = self.message(Body::Ack { sequence, origin });
         if message.data_centre == self.me.place.data_centre {
+            ack.lights.push(self.me.light());
             let key = self.by_generation.get(&message.generation.0).copied();
             self.carry(&mut ack, key);
         }
--- a/src/fleet/speaker.rs
+++ b/src/fleet/speaker.rs
@@ -96,7 +96,7 @@
             Entry::Vacant(entry) => {
                 let mut summary = held.clone();
                 summary.clear();
-                summary.version = held.version + 1;
+                summary.version = held.version.saturating_add(1);
                 self.by_key.insert(held.key(), held.service.clone());
                 entry.insert(Offer {
                     summary,
@@ -110,7 +110,7 @@
                 }
                 own.version = held.version;
                 if own != held {
-                    own.version += 1;
+                    own.version = own.version.saturating_add(1);
                 }
             }
         }
@@ -125,7 +125,7 @@
         for offer in self.offers.values_mut() {
             if !now.contains_key(&offer.summary.service) && !offer.summary.workers.is_empty() {
                 offer.summary.clear();
-                offer.summary.version += 1;
+                offer.summary.version = offer.summary.version.saturating_add(1);
             }
         }
         for (service, mut summary) in now {
@@ -144,7 +144,7 @@
                     let is_late = now_us.saturating_sub(offer.changed_us) >= CHANGE_US;
                     let is_urgent = summary.workers != offer.summary.workers;
                     if summary != offer.summary && (is_late || is_urgent) {
-                        summary.version += 1;
+                        summary.version = summary.version.saturating_add(1);
                         offer.summary = summary;
                         offer.changed_us = now_us;
                     }
@@ -219,8 +219,8 @@
     }
 
     fn add(&mut self, ad: &WorkerAd) {
-        self.slots += ad.slots;
-        self.load += u32::from(ad.load);
+        self.slots = self.slots.saturating_add(ad.slots);
+        self.load = self.load.saturating_add(u32::from(ad.load));
         self.level = self.level.max(ad.level);
     }
 
@@ -270,7 +270,7 @@
         let line = self.speaker.line(other, now_us);
         if now_us >= line.beat_us {
             line.beat_us = now_us + BEAT_US;
-            self.speaker.beat += 1;
+            self.speaker.beat = self.speaker.beat.saturating_add(1);
             message.beats.push(self.own_beat());
         }
         let mut bytes = 0;
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -181,13 +181,17 @@
     fn expire(&mut self, now_us: u64) {
         let mut dead = Vec::new();
         let mut forgotten = Vec::new();
-        for (key, peer) in &self.peers {
+        for (key, peer) in &mut self.peers {
             let age_us = now_us.saturating_sub(peer.changed_us);
             match peer.member.status {
                 Status::Suspect if age_us >= self.rules.suspicion_us => dead.push(key),
                 Status::Dead | Status::Left if age_us >= self.rules.tombstone_us => {
                     forgotten.push(key);
                 }
+                Status::Suspect if age_us >= self.rules.suspicion_us / 2 && !peer.checked => {
+                    peer.checked = true;
+                    self.probes.hurry(key);
+                }
                 _ => (),
             }
         }
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -106,7 +106,7 @@
         let generation = Generation::starting(self.now_us / 1_000, self.rng.next_u64());
         let mut fleet = Fleet::new(self.rules.clone(), place, generation, self.rng.next_u64());
         let mut first = BTreeMap::new();
-        for node in &self.nodes {
+        for node in self.live() {
             let data_centre = node.fleet.data_centre().clone();
             first.entry(data_centre).or_insert(node.addr);
         }
@@ -259,7 +259,7 @@
         self.post(at, out);
     }
 
-    fn post(&mut self, from: usize, out: Vec<Send>) {
+    pub fn post(&mut self, from: usize, out: Vec<Send>) {
         let now_us = self.now_us;
         for event in self.nodes[from].fleet.events() {
             self.nodes[from].events.push((now_us, event));
