--- a/src/fleet/route.rs
+++ b/src/fleet/route.rs
@@ -186,13 +186,12 @@
         if let Some(choice) = self.choose(&sound, Locality::DataCentre, rng) {
             return Some(choice);
         }
-        self.counters.doubtful += 1;
-        if let Some(choice) = self.choose(&doubtful, Locality::DataCentre, rng) {
-            return Some(choice);
+        let last = self.choose(&doubtful, Locality::DataCentre, rng);
+        match last {
+            Some(_) => self.counters.doubtful += 1,
+            None => self.counters.none += 1,
         }
-        self.counters.doubtful -= 1;
-        self.counters.none += 1;
-        None
+        last
     }
 
     /// Notes that a call has been sent to a worker.
