Prove commits on seeded histories and over HTTP

Cause: accepted changes must survive lost answers, conflicts, outages, cuts, pauses, lapsed leases and daemons that restart empty. Change: 1,024 seeded histories in virtual time, checked for one winner a revision, monotonic daemons, what each operator was told, and for linearizability; single steps of a commit; the load on the store as the fleet grows; commits and readers over HTTP; the operators' port.

--- /dev/null
+++ b/lab/tests/control.rs
@@ -0,0 +1,122 @@
+//! Commits and readers over HTTP against the stand-in of the platform.
+
+use {
+    async_std::task,
+    lab::platform::{Faults, Platform, Running},
+    shallotdeal::{
+        clock::{Clock, SystemClock},
+        config::{Config, Edit, Proposal, Revision, ServiceEdit},
+        control::{
+            commit::CommitError,
+            committer::Committer,
+            confirm::{Confirmations, Standing},
+            enforced::Live,
+            reader::{self, Members},
+        },
+        store::http::HttpStore,
+    },
+    smol_str::{SmolStr, format_smolstr},
+    std::{sync::Arc, time::Duration},
+};
+
+struct Fleet(Vec<Arc<Live>>);
+
+impl Confirmations for Fleet {
+    fn lagging(&self, revision: Revision) -> Vec<SmolStr> {
+        let daemons = self.0.iter().enumerate();
+        daemons
+            .filter(|(_, live)| live.config().revision < revision)
+            .map(|(index, _)| format_smolstr!("daemon-{index}"))
+            .collect()
+    }
+}
+
+struct Alone(SmolStr);
+
+impl Members for Alone {
+    fn members(&self) -> Vec<SmolStr> {
+        vec![self.0.clone()]
+    }
+}
+
+fn proposal(id: &str) -> Proposal {
+    Proposal {
+        id: id.into(),
+        text: id.into(),
+        if_revision: None,
+        edits: vec![Edit::CreateService(id.into(), ServiceEdit::default())],
+    }
+}
+
+async fn start(daemons: usize) -> (Running, Committer, Vec<Arc<Live>>) {
+    let running = Platform::new()
+        .serve(([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a free port");
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let live = || Arc::new(Live::new(Config::initial(), Arc::clone(&clock)));
+    let lives: Vec<_> = (0..daemons).map(|_| live()).collect();
+    for (index, live) in lives.iter().enumerate() {
+        let name = format_smolstr!("daemon-{index}");
+        let members = Arc::new(Alone(name.clone()));
+        let store = Arc::new(HttpStore::new(running.addr));
+        let (live, clock) = (Arc::clone(live), Arc::clone(&clock));
+        task::spawn(reader::run(name, store, live, members, clock, index as u64));
+    }
+    let store = Arc::new(HttpStore::new(running.addr));
+    let fleet = Arc::new(Fleet(lives.clone()));
+    let committer = Committer::new(store, Arc::clone(&lives[0]), fleet, clock);
+    (running, committer, lives)
+}
+
+#[test]
+fn a_change_is_accepted_through_a_lost_answer() {
+    task::block_on(async {
+        let (running, committer, lives) = start(4).await;
+        let first = committer.commit(proposal("first")).await.expect("stored");
+        assert_eq!(first.standing, Standing::Accepted);
+        running.platform.set_faults(Faults {
+            lose_answers: 1,
+            ..Faults::default()
+        });
+        let second = committer.commit(proposal("second")).await.expect("stored");
+        assert_eq!(
+            (second.revision, second.standing),
+            (Revision(2), Standing::Accepted)
+        );
+        assert!(
+            lives
+                .iter()
+                .all(|live| live.config().revision == Revision(2))
+        );
+        assert_eq!(running.platform.report().counts.lost_answers, 1);
+        running.task.cancel().await;
+    });
+}
+
+#[test]
+fn an_outage_changes_nothing_and_its_end_is_noticed() {
+    task::block_on(async {
+        let (running, committer, lives) = start(2).await;
+        committer.commit(proposal("first")).await.expect("stored");
+        running.platform.set_faults(Faults {
+            outage: true,
+            ..Faults::default()
+        });
+        let refused = committer.commit(proposal("refused")).await;
+        assert!(matches!(refused, Err(CommitError::Store(_))));
+        task::sleep(Duration::from_millis(600)).await;
+        assert!(
+            lives
+                .iter()
+                .all(|live| live.config().revision == Revision(1))
+        );
+        running.platform.set_faults(Faults::default());
+        let second = committer.commit(proposal("second")).await.expect("stored");
+        assert_eq!(
+            (second.revision, second.standing),
+            (Revision(2), Standing::Accepted)
+        );
+        running.task.cancel().await;
+    });
+}
--- a/src/ask/route.rs
+++ b/src/ask/route.rs
@@ -4,6 +4,7 @@
     crate::{
         ask::{answer::Verdict, executor::Executor, render},
         config::is_name,
+        control::commit::CommitError,
     },
     http_types::headers::{ACCEPT, AUTHORIZATION},
     rand::random,
@@ -66,7 +67,17 @@
     match verdict {
         Verdict::Answers(_) | Verdict::Changed(_) => StatusCode::Ok,
         Verdict::Faulty(_) => StatusCode::UnprocessableEntity,
-        Verdict::NotChanged(_) => StatusCode::Conflict,
+        Verdict::NotChanged(error) => status_of(error),
         Verdict::Forbidden => StatusCode::Forbidden,
     }
 }
+
+fn status_of(error: &CommitError) -> StatusCode {
+    match error {
+        CommitError::Store(_) | CommitError::Unreadable(_) => StatusCode::ServiceUnavailable,
+        CommitError::Unresolved { .. } => StatusCode::GatewayTimeout,
+        CommitError::Invalid(_) | CommitError::Lost { .. } | CommitError::Reused { .. } => {
+            StatusCode::Conflict
+        }
+    }
+}
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -33,7 +33,8 @@
 }
 
 impl Fleet {
-    /// Load without faults.
+    /// Load without faults, at most: a watch that a change ends is counted as if it had also waited
+    /// to its end.
     pub fn store_load(&self) -> StoreLoad {
         let waiting_watches = self.watchers();
         let changes_per_s = f64::from(self.changes_per_day) / S_PER_DAY;
--- /dev/null
+++ b/tests/control_histories/world.rs
@@ -0,0 +1,533 @@
+//! Event loop: operators, daemons and a store with outages, delays and lost messages.
+
+use {
+    super::{
+        check::{End, Record, assert_in_force},
+        fleet::{DAEMONS, Daemon, data_centre, name},
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    shallotdeal::{
+        config::{CONFIG_KEY, Config, Edit, Proposal, Revision, RulesEdit, ServiceEdit},
+        control::{
+            commit::{Commit, CommitError, Step},
+            confirm::{CONFIRM_PAUSE_MS, Confirm, Standing},
+            watcher::{Seen, Step as WatchStep},
+        },
+        store::{Entry, LeaseId, StoreError, Swap, Version, table::Table},
+    },
+    smol_str::{SmolStr, format_smolstr},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+const US_PER_MS: u64 = 1_000;
+const RUN_US: u64 = 30_000_000;
+const HEAL_US: u64 = 30_000_000;
+const GOSSIP_US: u64 = 200_000;
+const FAULT_US: u64 = 1_500_000;
+const STORE_TIMEOUT_US: u64 = 2_000_000;
+const LEASE_MS: u32 = 6_000;
+const RENEW_US: u64 = 2_000_000;
+const OPERATORS: usize = 3;
+const CONTACTS: &str = "contact/";
+
+enum Event {
+    Gossip(usize),
+    Watch(usize, u64),
+    Renew(usize, u64),
+    Fault,
+    Think(usize),
+    Advance(usize, u64, Input),
+    Arrive(Message),
+    Poll(usize, u64),
+}
+
+enum Input {
+    Begin,
+    Paused,
+    Read(Result<Option<Entry>, StoreError>),
+    Written(Result<Swap, StoreError>),
+}
+
+/// A call on its way to the store.
+enum Message {
+    Read(usize, u64),
+    Write(usize, u64, Version, Vec<u8>),
+}
+
+struct Operator {
+    at: usize,
+    incarnation: u64,
+    serial: u64,
+    commit: Option<Commit>,
+    id: SmolStr,
+    began_us: u64,
+    confirm: Option<(Confirm, Revision)>,
+    answered: bool,
+}
+
+pub(crate) struct World {
+    rng: ChaCha8Rng,
+    now_us: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    table: Table,
+    daemons: Vec<Daemon>,
+    leases: Vec<Option<LeaseId>>,
+    operators: Vec<Operator>,
+    outage_until_us: u64,
+    cut_until_us: u64,
+    slow_until_us: u64,
+    incarnations: u64,
+    record: Record,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let operator = |at| Operator {
+            at,
+            incarnation: 0,
+            serial: 0,
+            commit: None,
+            id: SmolStr::default(),
+            began_us: 0,
+            confirm: None,
+            answered: true,
+        };
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_us: 0,
+            queue: BTreeMap::new(),
+            order: 0,
+            table: Table::new(),
+            daemons: (0..DAEMONS).map(|index| Daemon::new(index, 0, 0)).collect(),
+            leases: vec![None; DAEMONS],
+            operators: (0..OPERATORS).map(operator).collect(),
+            outage_until_us: 0,
+            cut_until_us: 0,
+            slow_until_us: 0,
+            incarnations: 0,
+            record: Record::default(),
+        };
+        world.seed_events();
+        world
+    }
+
+    pub(crate) fn run(mut self) -> Record {
+        while let Some(((at_us, _), event)) = self.queue.pop_first() {
+            if at_us > RUN_US + HEAL_US {
+                break;
+            }
+            self.now_us = at_us;
+            self.handle(event);
+        }
+        let entry = self.table.get(CONFIG_KEY, self.now_us);
+        let config = entry.map(|entry| Config::decode(&entry.value).expect("a configuration"));
+        self.record
+            .finish(config.unwrap_or_default(), &self.daemons);
+        self.record
+    }
+
+    fn seed_events(&mut self) {
+        for index in 0..DAEMONS {
+            self.after(index as u64 * 7 * US_PER_MS, Event::Gossip(index));
+            self.after(0, Event::Watch(index, 0));
+            self.after(0, Event::Renew(index, 0));
+        }
+        for operator in 0..OPERATORS {
+            self.think(operator);
+        }
+        self.after(FAULT_US, Event::Fault);
+    }
+
+    fn after(&mut self, delay_us: u64, event: Event) {
+        self.order += 1;
+        self.queue
+            .insert((self.now_us + delay_us, self.order), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Gossip(index) => self.gossip(index),
+            Event::Watch(index, incarnation) => self.watch(index, incarnation),
+            Event::Renew(index, incarnation) => self.renew(index, incarnation),
+            Event::Fault => self.fault(),
+            Event::Think(operator) => self.begin(operator),
+            Event::Advance(operator, serial, input) => self.advance(operator, serial, input),
+            Event::Arrive(message) => self.arrive(message),
+            Event::Poll(operator, serial) => self.poll(operator, serial),
+        }
+    }
+
+    fn healing(&self) -> bool {
+        self.now_us >= RUN_US
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        !self.healing() && self.rng.random_range(0..100) < percent
+    }
+
+    fn gossip(&mut self, index: usize) {
+        self.after(GOSSIP_US, Event::Gossip(index));
+        let peer = self.rng.random_range(0..DAEMONS);
+        let cut = self.cut_until_us > self.now_us && data_centre(peer) != data_centre(index);
+        let run = self.daemons[index].runs(self.now_us) && self.daemons[peer].runs(self.now_us);
+        if cut || !run || peer == index || self.chance(10) {
+            return;
+        }
+        let (config, beliefs) = self.daemons[index].gossip();
+        self.daemons[peer].hear(&beliefs);
+        self.daemons[peer].offer(&config, self.now_us);
+        let (config, beliefs) = self.daemons[peer].gossip();
+        self.daemons[index].hear(&beliefs);
+        self.daemons[index].offer(&config, self.now_us);
+    }
+
+    /// One step of a reader; a long poll is played as polls of a tenth of a second.
+    fn watch(&mut self, index: usize, incarnation: u64) {
+        if self.daemons[index].incarnation != incarnation {
+            return;
+        }
+        if !self.daemons[index].runs(self.now_us) {
+            return self.after(100 * US_PER_MS, Event::Watch(index, incarnation));
+        }
+        let duty = self.daemons[index].duty(self.now_us);
+        let pause_ms = match self.daemons[index].watcher.step(duty) {
+            WatchStep::Pause { pause_ms } => pause_ms,
+            WatchStep::Watch { after, .. } => self.look(index, after),
+        };
+        self.after(
+            u64::from(pause_ms) * US_PER_MS,
+            Event::Watch(index, incarnation),
+        );
+    }
+
+    fn look(&mut self, index: usize, after: Version) -> u32 {
+        let result = if self.store_is_out(index) {
+            Err(unavailable("watch"))
+        } else {
+            let entry = self.table.get(CONFIG_KEY, self.now_us);
+            Ok(entry.filter(|entry| entry.version > after))
+        };
+        let daemon = &mut self.daemons[index];
+        match daemon.watcher.answered(result, &mut self.rng) {
+            Seen::Config(config) => daemon.offer(&config, self.now_us),
+            Seen::Empty => daemon.enforced.settle(),
+            Seen::Unreadable(error) => panic!("{error}"),
+            Seen::Same | Seen::Failed(_) => {}
+        }
+        100
+    }
+
+    /// The store stands in data centre 0; a cut hides it from data centre 1.
+    fn store_is_out(&self, index: usize) -> bool {
+        let cut = self.cut_until_us > self.now_us && data_centre(index) != 0;
+        cut || self.outage_until_us > self.now_us
+    }
+
+    fn renew(&mut self, index: usize, incarnation: u64) {
+        if self.daemons[index].incarnation != incarnation {
+            return;
+        }
+        self.after(RENEW_US, Event::Renew(index, incarnation));
+        if !self.daemons[index].runs(self.now_us) || self.store_is_out(index) {
+            return;
+        }
+        let renewed = self.leases[index].is_some_and(|id| self.table.renew(id, self.now_us));
+        if renewed {
+            return;
+        }
+        self.record.lapsed += u64::from(self.leases[index].is_some());
+        let lease = self.table.grant(LEASE_MS, self.now_us);
+        self.leases[index] = Some(lease);
+        let key = format!("{CONTACTS}{}", name(index));
+        let expected = self
+            .table
+            .get(&key, self.now_us)
+            .map_or(Version::ABSENT, |e| e.version);
+        self.table
+            .swap(&key, expected, vec![], Some(lease), self.now_us);
+    }
+
+    fn fault(&mut self) {
+        if self.healing() {
+            return self.heal();
+        }
+        self.after(self.now_us % 7 + FAULT_US, Event::Fault);
+        let until_us = self.now_us + self.rng.random_range(500..8_000) * US_PER_MS;
+        let index = self.rng.random_range(0..DAEMONS);
+        match self.rng.random_range(0..7) {
+            0 => self.outage_until_us = until_us,
+            1 => self.cut_until_us = until_us,
+            2 => self.slow_until_us = until_us,
+            3 => self.daemons[index].paused_until_us = until_us,
+            4 | 5 => self.restart(index),
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self) {
+        self.outage_until_us = 0;
+        self.cut_until_us = 0;
+        self.slow_until_us = 0;
+        for daemon in &mut self.daemons {
+            daemon.paused_until_us = 0;
+        }
+    }
+
+    /// A daemon comes back without memory, under a new incarnation.
+    fn restart(&mut self, index: usize) {
+        self.incarnations += 1;
+        self.record.restarts += 1;
+        let incarnation = self.incarnations;
+        self.daemons[index] = Daemon::new(index, incarnation, self.now_us);
+        self.leases[index] = None;
+        self.after(0, Event::Watch(index, incarnation));
+        self.after(0, Event::Renew(index, incarnation));
+    }
+
+    fn think(&mut self, operator: usize) {
+        let delay_us = self.rng.random_range(0..5_000) * US_PER_MS;
+        self.after(delay_us, Event::Think(operator));
+    }
+
+    fn begin(&mut self, operator: usize) {
+        if self.healing() {
+            return;
+        }
+        let at = self.rng.random_range(0..DAEMONS);
+        if !self.daemons[at].runs(self.now_us) {
+            return self.think(operator);
+        }
+        let serial = self.operators[operator].serial + 1;
+        let id = format_smolstr!("operator-{operator}-{serial}");
+        let local = Arc::clone(self.daemons[at].enforced.config());
+        let proposal = self.proposal(&id, local.revision);
+        let commit = Commit::new(proposal, local, self.now_us / US_PER_MS);
+        self.operators[operator] = Operator {
+            at,
+            incarnation: self.daemons[at].incarnation,
+            serial,
+            commit: Some(commit),
+            id,
+            began_us: self.now_us,
+            confirm: None,
+            answered: false,
+        };
+        self.after(0, Event::Advance(operator, serial, Input::Begin));
+    }
+
+    fn proposal(&mut self, id: &SmolStr, seen: Revision) -> Proposal {
+        let weight = self.rng.random_range(0..=100);
+        let rules = RulesEdit {
+            recovery_weight_percent: Some(weight),
+            ..RulesEdit::default()
+        };
+        Proposal {
+            id: id.clone(),
+            text: id.clone(),
+            if_revision: self.chance(30).then_some(seen),
+            edits: vec![
+                Edit::CreateService(id.clone(), ServiceEdit::default()),
+                Edit::Set(rules),
+            ],
+        }
+    }
+
+    fn advance(&mut self, operator: usize, serial: u64, input: Input) {
+        if self.operators[operator].serial != serial || self.operators[operator].answered {
+            return;
+        }
+        if self.is_gone(operator) {
+            return self.end(operator, End::Gone);
+        }
+        let now_us = self.now_us;
+        let Some(commit) = &mut self.operators[operator].commit else {
+            return;
+        };
+        let step = match input {
+            Input::Begin => commit.start(),
+            Input::Paused => commit.paused(),
+            Input::Read(result) => commit.read(result, now_us),
+            Input::Written(result) => commit.written(result, now_us),
+        };
+        self.take(operator, serial, step);
+    }
+
+    /// The daemon that the operator talked to was restarted: no answer will come.
+    fn is_gone(&self, operator: usize) -> bool {
+        let Operator {
+            at, incarnation, ..
+        } = self.operators[operator];
+        self.daemons[at].incarnation != incarnation
+    }
+
+    fn take(&mut self, operator: usize, serial: u64, step: Step) {
+        match step {
+            Step::Read => self.send(Message::Read(operator, serial)),
+            Step::Write { expected, value } => {
+                self.send(Message::Write(operator, serial, expected, value));
+            }
+            Step::Pause { pause_ms } => {
+                let event = Event::Advance(operator, serial, Input::Paused);
+                self.after(u64::from(pause_ms) * US_PER_MS, event);
+            }
+            Step::Done(Ok(config)) => self.stored(operator, serial, &config),
+            Step::Done(Err(error)) => self.failed(operator, &error),
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        let slow = self.slow_until_us > self.now_us;
+        let delay_ms = self.rng.random_range(1..if slow { 4_000 } else { 20 });
+        if self.chance(5) {
+            return self.reply_late(&message);
+        }
+        self.after(delay_ms * US_PER_MS, Event::Arrive(message));
+    }
+
+    fn arrive(&mut self, message: Message) {
+        let (Message::Read(operator, _) | Message::Write(operator, ..)) = message;
+        if self.store_is_out(self.operators[operator].at) {
+            return self.reply_out(&message);
+        }
+        match message {
+            Message::Read(operator, serial) => {
+                let entry = self.table.get(CONFIG_KEY, self.now_us);
+                self.reply(operator, serial, Input::Read(Ok(entry)));
+            }
+            Message::Write(operator, serial, expected, value) => {
+                self.write(operator, serial, expected, value);
+            }
+        }
+    }
+
+    fn write(&mut self, operator: usize, serial: u64, expected: Version, value: Vec<u8>) {
+        let config = Config::decode(&value).expect("a configuration");
+        let swap = self
+            .table
+            .swap(CONFIG_KEY, expected, value, None, self.now_us)
+            .expect("no lease is needed");
+        if matches!(swap, Swap::Applied(_)) {
+            self.record.applied(&config);
+        }
+        if self.chance(25) {
+            self.record.lost_answers += 1;
+            let input = Input::Written(Err(uncertain()));
+            return self.after(STORE_TIMEOUT_US, Event::Advance(operator, serial, input));
+        }
+        self.reply(operator, serial, Input::Written(Ok(swap)));
+    }
+
+    /// An answer that takes longer than the time limit of the call counts as none.
+    fn reply(&mut self, operator: usize, serial: u64, input: Input) {
+        let delay_ms = self.rng.random_range(1..20);
+        self.after(
+            delay_ms * US_PER_MS,
+            Event::Advance(operator, serial, input),
+        );
+    }
+
+    /// The call itself is lost, which its sender cannot tell from a lost answer. A lost write may
+    /// still arrive much later.
+    fn reply_late(&mut self, message: &Message) {
+        match message {
+            Message::Read(operator, serial) => {
+                let input = Input::Read(Err(unavailable("get")));
+                self.after(STORE_TIMEOUT_US, Event::Advance(*operator, *serial, input));
+            }
+            Message::Write(operator, serial, expected, value) => {
+                let input = Input::Written(Err(uncertain()));
+                self.after(STORE_TIMEOUT_US, Event::Advance(*operator, *serial, input));
+                let late_us = self.rng.random_range(1_000..15_000) * US_PER_MS;
+                let late = Message::Write(*operator, 0, *expected, value.clone());
+                self.after(late_us, Event::Arrive(late));
+            }
+        }
+    }
+
+    fn reply_out(&mut self, message: &Message) {
+        match message {
+            Message::Read(operator, serial) => {
+                let input = Input::Read(Err(unavailable("get")));
+                self.reply(*operator, *serial, input);
+            }
+            Message::Write(operator, serial, ..) => {
+                let input = Input::Written(Err(unavailable("swap")));
+                self.reply(*operator, *serial, input);
+            }
+        }
+    }
+
+    fn stored(&mut self, operator: usize, serial: u64, config: &Arc<Config>) {
+        let Operator { at, ref id, .. } = self.operators[operator];
+        let change = config.change(id).expect("the change is in its history");
+        let revision = change.revision;
+        self.record.stored(id, self.now_us);
+        self.daemons[at].offer(config, self.now_us);
+        let confirm = Confirm::new(revision, self.now_us);
+        self.operators[operator].confirm = Some((confirm, revision));
+        self.after(0, Event::Poll(operator, serial));
+    }
+
+    fn poll(&mut self, operator: usize, serial: u64) {
+        let Operator { at, confirm, .. } = self.operators[operator];
+        let Some((confirm, revision)) = confirm else {
+            return;
+        };
+        if self.operators[operator].serial != serial || self.operators[operator].answered {
+            return;
+        }
+        if self.is_gone(operator) {
+            return self.end(operator, End::Gone);
+        }
+        let pause_us = u64::from(CONFIRM_PAUSE_MS) * US_PER_MS;
+        if !self.daemons[at].runs(self.now_us) {
+            return self.after(pause_us, Event::Poll(operator, serial));
+        }
+        match confirm.poll(&self.daemons[at], self.now_us) {
+            None => self.after(pause_us, Event::Poll(operator, serial)),
+            Some(Standing::Stored { .. }) => self.end(operator, End::Stored(revision)),
+            Some(Standing::Accepted) => {
+                let began_us = self.operators[operator].began_us;
+                assert_in_force(revision, &self.daemons, began_us);
+                self.end(operator, End::Accepted(revision));
+            }
+        }
+    }
+
+    fn failed(&mut self, operator: usize, error: &CommitError) {
+        let end = match error {
+            CommitError::Lost { revision, winner } => End::Lost(*revision, winner.clone()),
+            CommitError::Unresolved { .. } => End::Unresolved,
+            CommitError::Store(_) => End::Unstored,
+            other => panic!("{other}"),
+        };
+        self.end(operator, end);
+    }
+
+    fn end(&mut self, operator: usize, end: End) {
+        let Operator {
+            ref id, began_us, ..
+        } = self.operators[operator];
+        self.record.end(id.clone(), began_us, self.now_us, end);
+        self.operators[operator].answered = true;
+        self.think(operator);
+    }
+}
+
+fn unavailable(step: &'static str) -> StoreError {
+    StoreError::Unavailable {
+        step,
+        peer: "store".into(),
+        detail: "outage".into(),
+    }
+}
+
+fn uncertain() -> StoreError {
+    StoreError::Uncertain {
+        step: "swap",
+        peer: "store".into(),
+        detail: "timeout".into(),
+    }
+}
