--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -1,6 +1,7 @@
 //! What stand-ins record, outside the process that it is about.
 
 use {
+    derive_more::Display,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{
@@ -104,7 +105,10 @@
 }
 
 /// What a caller learned from one send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize
+)]
+#[display(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// A whole good answer.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -5,10 +5,11 @@
         record::{RequestRecord, Verdict},
         scenario::Scenario,
     },
+    derive_more::Display,
     hdrhistogram::Histogram,
     serde::Serialize,
     smol_str::SmolStr,
-    std::fmt::Write,
+    std::{collections::BTreeMap, fmt::Write},
 };
 
 /// Largest latency that the histogram holds.
@@ -131,6 +132,45 @@
     }
 }
 
+/// Sends of one class that ended the same way, other than done.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize)]
+#[display("{count:>7} sends of {class}: {verdict} {reason}")]
+pub struct Refusals {
+    /// Name of the class.
+    pub class: SmolStr,
+    /// What came back.
+    pub verdict: Verdict,
+    /// Reason given, if any.
+    pub reason: SmolStr,
+    /// Number of sends.
+    pub count: u64,
+}
+
+impl Refusals {
+    /// Counts all sends that were not done.
+    pub fn count(records: &[RequestRecord]) -> Vec<Self> {
+        let mut counts = BTreeMap::<(&str, Verdict, &str), u64>::new();
+        for record in records {
+            for send in &record.sends {
+                let reason = send.reason.as_deref().unwrap_or_default();
+                *counts
+                    .entry((&record.class, send.verdict, reason))
+                    .or_default() += 1;
+            }
+        }
+        counts
+            .into_iter()
+            .filter(|((_, verdict, _), _)| *verdict != Verdict::Done)
+            .map(|((class, verdict, reason), count)| Self {
+                class: class.into(),
+                verdict,
+                reason: reason.into(),
+                count,
+            })
+            .collect()
+    }
+}
+
 /// Histogram that holds any latency of a run.
 pub(crate) fn latency_histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, LATENCY_LIMIT_US, 3).expect("constant bounds are valid")
--- a/lab/src/round.rs
+++ b/lab/src/round.rs
@@ -15,12 +15,16 @@
         record::{RequestRecord, RunEvent, unix_us},
         round::{fault::Timeline, host::Host},
         scenario::Scenario,
-        wire::statements,
+        wire::{configuration, statements},
     },
     async_channel::Receiver,
     async_std::{io, task},
     derive_more::{Display, Error, From},
     serde::Serialize,
+    shallotdeal::{
+        config::CONFIG_KEY,
+        store::{Store, StoreError, Version, http::HttpStore},
+    },
     smol_str::{SmolStr, format_smolstr},
     std::{
         net::{Ipv4Addr, SocketAddr},
@@ -86,6 +90,8 @@
     Process(ProcessError),
     /// A socket or file could not be handled.
     Io(io::Error),
+    /// The stand-in store could not be filled.
+    Store(StoreError),
     /// The daemons did not come up.
     #[from(ignore)]
     #[display("{name} does not serve after {} s: {detail}", BOOT_LIMIT.as_secs())]
@@ -153,7 +159,7 @@
         places: Vec<SmolStr>,
     ) -> Result<Self, RoundError> {
         let store = if settings.store {
-            Some(Platform::new().serve(store_address(settings.net)).await?)
+            Some(start_store(&scenario, store_address(settings.net)).await?)
         } else {
             None
         };
@@ -219,15 +225,13 @@
         Ok(())
     }
 
-    /// Tells the daemons the classes and services; one of them if they share a store.
+    /// Tells each daemon the classes and services, unless a shared store does.
     async fn configure(&mut self) {
+        if self.store.is_some() {
+            return;
+        }
         let text = statements(&self.scenario);
-        let told = if self.store.is_some() {
-            1
-        } else {
-            self.hosts.len()
-        };
-        for host in 0..told {
+        for host in 0..self.hosts.len() {
             if let Err(detail) = self.hosts[host].ask(&text).await {
                 let name = self.hosts[host].name.clone();
                 self.note(format_smolstr!(
@@ -290,6 +294,16 @@
     }
 }
 
+/// Starts a store that already holds the scenario's configuration.
+async fn start_store(scenario: &Scenario, addr: SocketAddr) -> Result<Running, RoundError> {
+    let running = Platform::new().serve(addr).await?;
+    let value = configuration(scenario).encode();
+    HttpStore::new(addr)
+        .swap(CONFIG_KEY, Version::ABSENT, value, None)
+        .await?;
+    Ok(running)
+}
+
 /// Address of the stand-in store of a round.
 fn store_address(net: u8) -> SocketAddr {
     (Ipv4Addr::new(127, net, 1, 1), STORE_PORT).into()
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -5,7 +5,7 @@
         history::{History, Run},
         judge::{Finding, extra_calls, judge},
         record::{End, RequestRecord},
-        report::Tally,
+        report::{Refusals, Tally},
         round::{FaultNote, Outcome, Policy},
     },
     serde::Serialize,
@@ -44,6 +44,8 @@
     pub region_bytes: u64,
     /// Largest resident memory of a daemon at the end of the load.
     pub daemon_bytes: u64,
+    /// Sends that were not done, by what came back and the reason given.
+    pub refusals: Vec<Refusals>,
     /// The promises, checked.
     pub findings: Vec<Finding>,
     /// Events worth telling.
@@ -65,6 +67,8 @@
 pub enum Recovery {
     /// There was no trigger.
     NoTrigger,
+    /// Nothing ended well before the triggers.
+    NoGoodputBefore,
     /// This long after the end of the triggers.
     AfterMs(u64),
     /// Not within this time, when the load ended.
@@ -95,6 +99,7 @@
             scarce_percent: scarce_percent(history, span_ms),
             region_bytes: outcome.region_bytes,
             daemon_bytes: outcome.daemon_bytes,
+            refusals: Refusals::count(&history.requests),
             findings: judge(history),
             notes: outcome.notes.clone(),
         }
@@ -114,6 +119,9 @@
         text.push_str(&Tally::table(&self.during_triggers));
         match self.recovery {
             Recovery::NoTrigger => (),
+            Recovery::NoGoodputBefore => {
+                writeln!(text, "  recovery          no goodput before the triggers")?;
+            }
             Recovery::AfterMs(ms) => writeln!(text, "  recovery          {ms} ms")?,
             Recovery::NotWithinMs(ms) => writeln!(text, "  recovery          not within {ms} ms")?,
         }
@@ -141,6 +149,9 @@
             self.region_bytes as f64 / 1e6,
             self.daemon_bytes as f64 / 1e6
         )?;
+        for refusals in &self.refusals {
+            writeln!(text, "  {refusals}")?;
+        }
         for finding in &self.findings {
             writeln!(text, "{}", finding.line())?;
         }
@@ -177,6 +188,9 @@
     };
     let before = history.offered_between(0, begin_ms);
     let (good_before, offered_before) = goodput(&before);
+    if good_before == 0 {
+        return Recovery::NoGoodputBefore;
+    }
     let mut sustained = 0;
     let mut at_ms = end_ms;
     while at_ms + SLICE_MS <= scenario.run_ms {
--- a/lab/src/wire.rs
+++ b/lab/src/wire.rs
@@ -3,6 +3,10 @@
 use {
     crate::scenario::Scenario,
     serde::{Deserialize, Serialize},
+    shallotdeal::{
+        config::{ClassRule, Config, Revision, ServiceRule},
+        request::Importance,
+    },
     smol_str::SmolStr,
     std::{fmt::Write, net::SocketAddr},
 };
@@ -147,23 +151,53 @@
     }
 }
 
+/// Classes that a daemon knows without any configuration.
+const BUILTIN_CLASSES: [&str; 3] = ["default", "order", "read"];
+
 /// Statements that configure a scenario's classes and services.
 pub fn statements(scenario: &Scenario) -> String {
     let mut text = String::new();
     for class in &scenario.classes {
+        let builtin = BUILTIN_CLASSES.contains(&class.name.as_str());
         writeln!(
             text,
-            "create class {} importance {} allowance {} idempotent {} deadline {}ms;",
+            "{} class {} importance {} retries {} {} deadline {}ms",
+            if builtin { "change" } else { "create" },
             class.name,
             class.importance,
             class.retry_allowance,
-            if class.idempotent { "yes" } else { "no" },
+            if class.idempotent {
+                "idempotent"
+            } else {
+                "not-idempotent"
+            },
             class.deadline_ms,
         )
         .ok();
     }
     for service in &scenario.services {
-        writeln!(text, "create service {};", service.name).ok();
+        writeln!(text, "create service {}", service.name).ok();
     }
     text
 }
+
+/// The same configuration as the document that the store holds.
+pub fn configuration(scenario: &Scenario) -> Config {
+    let mut config = Config::initial();
+    config.revision = Revision(1);
+    for class in &scenario.classes {
+        let rule = ClassRule {
+            importance: Importance(class.importance),
+            retry_allowance: class.retry_allowance as u8,
+            idempotent: class.idempotent,
+            deadline_ms: class.deadline_ms as u32,
+        };
+        config.classes.insert(class.name.clone(), rule);
+    }
+    for service in &scenario.services {
+        config
+            .services
+            .insert(service.name.clone(), ServiceRule::default());
+    }
+    config
+}
