--- a/tests/ask_route.rs
+++ b/tests/ask_route.rs
@@ -80,7 +80,7 @@
 }
 
 fn server() -> Server<Arc<Executor>> {
-    let executor = Executor::new(Arc::new(Empty), Arc::new(Scripted), Secret::new("t"));
+    let executor = Executor::new(Arc::new(Empty), Arc::new(Scripted), Some(Secret::new("t")));
     app(Arc::new(executor))
 }
 
