Set the level of each class by the waiting work at least as important

Cause: a queue of less important work lowered the level into classes that fit the capacity. Change: each class has its own budget, from the delay of the work ahead of it; the limit makes trials below itself only where latency or failures give cause.

--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -470,7 +470,7 @@
 
     fn roll(&mut self, now_us: u64) {
         let load = self.load(now_us);
-        if !self.level.roll(load, now_us) {
+        if !self.level.roll(load, self.queue.counts(), now_us) {
             return;
         }
         let target_us = self.level.target_us(load.latency_us);
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -40,6 +40,12 @@
 /// Part of failed work beyond which a trial looks at failures.
 const FAILED_SHARE: f64 = 0.05;
 
+/// Ratio of the mean latency to the lowest one beyond which slots may not be real.
+const SUSPECT: f64 = 1.5;
+
+/// Samples of a cold backend server that are averaged for the lowest latency.
+const COLD_SAMPLES: u32 = 16;
+
 /// Epochs between trials at first.
 const WAIT_MIN: u32 = 2;
 
@@ -53,7 +59,7 @@
 const COLD_SHARE: f64 = 0.125;
 
 /// Weight of a sample in the mean latency.
-const MEAN_WEIGHT: f64 = 1.0 / 16.0;
+const MEAN_WEIGHT: f64 = 1.0 / 48.0;
 
 /// Weight of a sample below the expected latency.
 const FALL_WEIGHT: f64 = 0.5;
@@ -187,6 +193,7 @@
     wait: u32,
     epoch: Epoch,
     reference_us: f64,
+    lowest_us: f64,
 }
 
 impl Limit {
@@ -202,6 +209,7 @@
             wait: WAIT_MIN,
             epoch: Epoch::default(),
             reference_us: 0.0,
+            lowest_us: f64::INFINITY,
         }
     }
 
@@ -256,15 +264,11 @@
         if sample.done {
             self.latency.add(now_us - sample.started_us);
         }
-        if let Some(cold) = &mut self.cold {
-            *cold += f64::from(u8::from(sample.done));
-            if *cold >= self.base {
-                self.cold = None;
-                self.rest(self.wait, now_us);
-            }
+        self.epoch.add(sample, now_us);
+        if self.cold.is_some() {
+            self.warm(sample, now_us);
             return;
         }
-        self.epoch.add(sample, now_us);
         if self.epoch.samples() >= self.epoch_samples() {
             self.close_epoch(now_us);
         } else if now_us - self.epoch.opened_us > EPOCH_MAX_US {
@@ -272,6 +276,20 @@
         }
     }
 
+    /// Raises the limit of a cold backend server with each answer.
+    fn warm(&mut self, sample: Sample, now_us: u64) {
+        let cold = self.cold.unwrap_or(self.base) + f64::from(u8::from(sample.done));
+        self.cold = Some(cold);
+        if self.epoch.done >= COLD_SAMPLES {
+            self.lowest_us = self.lowest_us.min(self.epoch.result().mean_us);
+            self.epoch = Epoch::open(now_us, 0);
+        }
+        if cold >= self.base {
+            self.cold = None;
+            self.rest(self.wait, now_us);
+        }
+    }
+
     fn epoch_samples(&self) -> u32 {
         let samples = self.base as u32 * EPOCH_SAMPLES_PER_SLOT;
         samples.clamp(EPOCH_SAMPLES_MIN, EPOCH_SAMPLES_MAX)
@@ -280,6 +298,9 @@
     fn close_epoch(&mut self, now_us: u64) {
         let epoch = self.epoch;
         let result = epoch.result();
+        if epoch.done > 0 {
+            self.lowest_us = self.lowest_us.min(result.mean_us);
+        }
         self.epoch = Epoch::open(now_us, result.mean_us as u64);
         if !epoch.binds() {
             self.rest(self.wait, now_us);
@@ -308,9 +329,10 @@
             self.phase = Phase::Rest { wait: wait.max(1) };
             return;
         }
+        let suspect = result.mean_us > self.lowest_us * SUSPECT || failing(result);
         self.direction = match self.direction {
-            Direction::Down => Direction::Up,
-            Direction::Up => Direction::Down,
+            Direction::Up if suspect => Direction::Down,
+            _ => Direction::Up,
         };
         if (self.trial() - self.base).abs() < 0.5 {
             self.phase = Phase::Rest { wait: self.wait };
@@ -323,7 +345,7 @@
         if self.accepts(before, during, after) {
             self.base = self.trial();
             self.wait = WAIT_MIN;
-            // The opposite of the next direction, so that the same direction is tried again.
+            // The next trial turns the direction, so that this one is tried again.
             self.direction = match self.direction {
                 Direction::Down => Direction::Up,
                 Direction::Up => Direction::Down,
@@ -377,6 +399,10 @@
     }
 }
 
+fn failing(result: Measured) -> bool {
+    result.failed_share > FAILED_SHARE
+}
+
 /// Larger of the two over the smaller.
 fn ratio(one_us: f64, other_us: f64) -> f64 {
     if one_us <= 0.0 || other_us <= 0.0 {
--- a/src/policy/shed.rs
+++ b/src/policy/shed.rs
@@ -5,9 +5,12 @@
 //! and callers send some of it again and again. Its estimate is therefore discounted more and more
 //! while slots idle, so that the level opens geometrically.
 
-use crate::{
-    config::Rules,
-    request::{BUCKETS_PER_IMPORTANCE, Importance, Level, Rank},
+use {
+    crate::{
+        config::Rules,
+        request::{BUCKETS_PER_IMPORTANCE, Importance, Level, Rank},
+    },
+    std::collections::BTreeMap,
 };
 
 /// Length of one window.
@@ -49,8 +52,8 @@
 /// Smallest part of capacity that is admitted while a queue drains.
 const DRAIN_SHARE_MIN: f64 = 0.4;
 
-/// Largest part of capacity that is admitted to fill a queue; idle slots come on top.
-const FILL_SHARE_MAX: f64 = 1.25;
+/// Part of capacity that is admitted on top of it while nothing waits; idle slots come beside.
+const FILL_SHARE: f64 = 1.0;
 
 /// Bounds of the target queueing delay.
 const TARGET_MIN_US: f64 = 5_000.0;
@@ -97,6 +100,9 @@
     }
 }
 
+/// Waiting work by importance.
+pub type Queued = BTreeMap<Importance, usize>;
+
 /// State of the gate at the end of a window.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -113,7 +119,11 @@
 impl Load {
     /// Time in which the queue would drain.
     pub fn delay_us(&self) -> u64 {
-        self.queued as u64 * self.latency_us / u64::from(self.limit.max(1))
+        self.drain_us(self.queued)
+    }
+
+    fn drain_us(&self, queued: usize) -> u64 {
+        queued as u64 * self.latency_us / u64::from(self.limit.max(1))
     }
 
     /// Slots that nothing waits for.
@@ -189,14 +199,14 @@
     }
 
     /// Closes the window if it is over and sets the level; tells whether it did.
-    pub fn roll(&mut self, load: Load, now_us: u64) -> bool {
+    pub fn roll(&mut self, load: Load, queued: &Queued, now_us: u64) -> bool {
         let windows = now_us.saturating_sub(self.window_us) / WINDOW_US;
         if windows == 0 {
             return false;
         }
         self.window_us += windows * WINDOW_US;
         self.update(load, windows.min(1_000) as i32);
-        self.level = self.decide(load);
+        self.level = self.decide(load, queued);
         true
     }
 
@@ -256,38 +266,51 @@
         f64::from(arrived) < SEEN_SHARE * estimated * f64::from(windows)
     }
 
-    fn decide(&self, load: Load) -> Level {
-        let target_us = self.target_us(load.latency_us);
-        let excess_us = load.delay_us() as f64 - target_us;
-        if self.level == Level::OPEN && excess_us <= 0.0 {
+    fn decide(&self, load: Load, queued: &Queued) -> Level {
+        let delay_us = load.delay_us() as f64;
+        if self.level == Level::OPEN && delay_us <= self.target_us(load.latency_us) {
             return Level::OPEN;
         }
-        let drain_us = DRAIN_MIN_US.max(2.0 * load.latency_us as f64);
-        let share = (1.0 - excess_us / drain_us).clamp(DRAIN_SHARE_MIN, FILL_SHARE_MAX);
-        let budget = load.capacity() * share + load.idle() as f64;
-        let level = self.fitting(budget);
+        let level = self.fitting(load, queued);
         level.max(Level(self.floor()))
     }
 
-    /// Highest level whose estimated arrivals fit the budget.
-    fn fitting(&self, budget: f64) -> Level {
-        let mut left = budget;
+    /// Highest level whose estimated arrivals fit the budget of each class below it.
+    fn fitting(&self, load: Load, queued: &Queued) -> Level {
         let border = self.border();
-        for (cell, &estimate) in self.estimate.iter().enumerate() {
-            let estimate = if cell < border {
-                estimate
-            } else {
-                estimate * self.discount
-            };
-            if estimate > left {
-                let ranks = left.max(0.0) / estimate * RANKS_PER_CELL as f64;
-                return Level((cell * RANKS_PER_CELL) as u32 + ranks as u32);
+        let mut below = 0.0;
+        let mut ahead = 0;
+        for (class, cells) in self.estimate.chunks(CELLS_PER_IMPORTANCE).enumerate() {
+            ahead += queued.get(&Importance(class as u8)).unwrap_or(&0);
+            let budget = self.budget(load, ahead);
+            for (index, &estimate) in cells.iter().enumerate() {
+                let cell = class * CELLS_PER_IMPORTANCE + index;
+                let discount = if cell < border { 1.0 } else { self.discount };
+                let estimate = estimate * discount;
+                if below + estimate > budget {
+                    let ranks = (budget - below).max(0.0) / estimate * RANKS_PER_CELL as f64;
+                    return Level((cell * RANKS_PER_CELL) as u32 + ranks as u32);
+                }
+                below += estimate;
             }
-            left -= estimate;
         }
         Level::OPEN
     }
 
+    /// Arrivals to admit in a window, for a class with this much waiting at least as important
+    /// work. Less important waiting work does not count: it gives way.
+    fn budget(&self, load: Load, ahead: usize) -> f64 {
+        let target_us = self.target_us(load.latency_us);
+        let delay_us = load.drain_us(ahead) as f64;
+        let share = if delay_us > target_us {
+            let drain_us = DRAIN_MIN_US.max(2.0 * load.latency_us as f64);
+            1.0 - (delay_us - target_us) / drain_us
+        } else {
+            1.0 + FILL_SHARE * (1.0 - delay_us / target_us)
+        };
+        load.capacity() * share.max(DRAIN_SHARE_MIN) + load.idle() as f64
+    }
+
     /// Level below which it never goes: some of the most important class that comes here.
     fn floor(&self) -> u32 {
         let classes = self.estimate.chunks(CELLS_PER_IMPORTANCE);
