Try lower limits only where latency has nearly doubled

Cause: trials below the limit cut into important work although the slots were real. Change: a trial downwards needs 1.8 times the lowest mean latency, or failures.

--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -41,10 +41,10 @@
 const FAILED_SHARE: f64 = 0.05;
 
 /// Ratio of the mean latency to the lowest one beyond which slots may not be real.
-const SUSPECT: f64 = 1.5;
+const SUSPECT: f64 = 1.8;
 
 /// Samples of a cold backend server that are averaged for the lowest latency.
-const COLD_SAMPLES: u32 = 16;
+const COLD_SAMPLES: u32 = 32;
 
 /// Epochs between trials at first.
 const WAIT_MIN: u32 = 2;
