Split the edits from their application, and try random texts

Change: edits and their application are two files, the histories' network is one of its own, and the grammar is tried with random texts.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! What operators configure: one versioned document, in force at every daemon.
 
+mod apply;
 mod builtin;
 mod check;
 mod codec;
--- a/tests/ask_grammar.rs
+++ b/tests/ask_grammar.rs
@@ -1,13 +1,39 @@
 //! Parse results and errors of the operators' language.
 
-use shallotdeal::{
-    ask::{
-        grammar::parse,
-        statement::{Filter, Question, Script},
+use {
+    proptest::{
+        prelude::*,
+        test_runner::{Config as Runner, RngSeed},
+    },
+    shallotdeal::{
+        ask::{
+            grammar::parse,
+            statement::{Filter, Question, Script},
+        },
+        config::{Edit, Revision},
     },
-    config::{Edit, Revision},
 };
 
+const WORDS: &str = "(create|change|service|class|set|drain|stop|vm|show|if|revision|last|[0-9]{1,12}|[0-9]{1,3}(ms|s|m|%)|a|é|#|;|\n|\t|\\PC{0,3})";
+
+proptest! {
+    #![proptest_config(Runner {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Runner::default()
+    })]
+
+    #[test]
+    fn any_text_is_read_or_refused(words in prop::collection::vec(WORDS, 0..12)) {
+        let text = words.join(" ");
+        if let Err(fault) = parse(&text) {
+            prop_assert!(fault.line <= text.matches('\n').count() + 1);
+            prop_assert!(fault.to_string().contains('^'));
+        }
+    }
+}
+
 fn edits(text: &str) -> Vec<Edit> {
     match parse(text) {
         Ok(Script::Change { edits, .. }) => edits.into_iter().map(|edit| edit.edit).collect(),
--- a/tests/control_histories.rs
+++ b/tests/control_histories.rs
@@ -3,6 +3,7 @@
 mod control_histories {
     pub(crate) mod check;
     pub(crate) mod fleet;
+    pub(crate) mod network;
     pub(crate) mod world;
 }
 
--- a/tests/control_histories/world.rs
+++ b/tests/control_histories/world.rs
@@ -4,6 +4,7 @@
     super::{
         check::{End, Record, assert_in_force},
         fleet::{DAEMONS, Daemon, data_centre, name},
+        network::{Message, unavailable},
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -20,18 +21,17 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-const US_PER_MS: u64 = 1_000;
+pub(super) const US_PER_MS: u64 = 1_000;
 const RUN_US: u64 = 30_000_000;
 const HEAL_US: u64 = 30_000_000;
 const GOSSIP_US: u64 = 200_000;
 const FAULT_US: u64 = 1_500_000;
-const STORE_TIMEOUT_US: u64 = 2_000_000;
 const LEASE_MS: u32 = 6_000;
 const RENEW_US: u64 = 2_000_000;
 const OPERATORS: usize = 3;
 const CONTACTS: &str = "contact/";
 
-enum Event {
+pub(super) enum Event {
     Gossip(usize),
     Watch(usize, u64),
     Renew(usize, u64),
@@ -42,21 +42,15 @@
     Poll(usize, u64),
 }
 
-enum Input {
+pub(super) enum Input {
     Begin,
     Paused,
     Read(Result<Option<Entry>, StoreError>),
     Written(Result<Swap, StoreError>),
 }
 
-/// A call on its way to the store.
-enum Message {
-    Read(usize, u64),
-    Write(usize, u64, Version, Vec<u8>),
-}
-
-struct Operator {
-    at: usize,
+pub(super) struct Operator {
+    pub(super) at: usize,
     incarnation: u64,
     serial: u64,
     commit: Option<Commit>,
@@ -67,19 +61,19 @@
 }
 
 pub(crate) struct World {
-    rng: ChaCha8Rng,
-    now_us: u64,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now_us: u64,
     queue: BTreeMap<(u64, u64), Event>,
     order: u64,
-    table: Table,
+    pub(super) table: Table,
     daemons: Vec<Daemon>,
     leases: Vec<Option<LeaseId>>,
-    operators: Vec<Operator>,
+    pub(super) operators: Vec<Operator>,
     outage_until_us: u64,
     cut_until_us: u64,
-    slow_until_us: u64,
+    pub(super) slow_until_us: u64,
     incarnations: u64,
-    record: Record,
+    pub(super) record: Record,
 }
 
 impl World {
@@ -140,7 +134,7 @@
         self.after(FAULT_US, Event::Fault);
     }
 
-    fn after(&mut self, delay_us: u64, event: Event) {
+    pub(super) fn after(&mut self, delay_us: u64, event: Event) {
         self.order += 1;
         self.queue
             .insert((self.now_us + delay_us, self.order), event);
@@ -163,7 +157,7 @@
         self.now_us >= RUN_US
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
+    pub(super) fn chance(&mut self, percent: u32) -> bool {
         !self.healing() && self.rng.random_range(0..100) < percent
     }
 
@@ -220,7 +214,7 @@
     }
 
     /// The store stands in data centre 0; a cut hides it from data centre 1.
-    fn store_is_out(&self, index: usize) -> bool {
+    pub(super) fn store_is_out(&self, index: usize) -> bool {
         let cut = self.cut_until_us > self.now_us && data_centre(index) != 0;
         cut || self.outage_until_us > self.now_us
     }
@@ -377,88 +371,6 @@
         }
     }
 
-    fn send(&mut self, message: Message) {
-        let slow = self.slow_until_us > self.now_us;
-        let delay_ms = self.rng.random_range(1..if slow { 4_000 } else { 20 });
-        if self.chance(5) {
-            return self.reply_late(&message);
-        }
-        self.after(delay_ms * US_PER_MS, Event::Arrive(message));
-    }
-
-    fn arrive(&mut self, message: Message) {
-        let (Message::Read(operator, _) | Message::Write(operator, ..)) = message;
-        if self.store_is_out(self.operators[operator].at) {
-            return self.reply_out(&message);
-        }
-        match message {
-            Message::Read(operator, serial) => {
-                let entry = self.table.get(CONFIG_KEY, self.now_us);
-                self.reply(operator, serial, Input::Read(Ok(entry)));
-            }
-            Message::Write(operator, serial, expected, value) => {
-                self.write(operator, serial, expected, value);
-            }
-        }
-    }
-
-    fn write(&mut self, operator: usize, serial: u64, expected: Version, value: Vec<u8>) {
-        let config = Config::decode(&value).expect("a configuration");
-        let swap = self
-            .table
-            .swap(CONFIG_KEY, expected, value, None, self.now_us)
-            .expect("no lease is needed");
-        if matches!(swap, Swap::Applied(_)) {
-            self.record.applied(&config);
-        }
-        if self.chance(25) {
-            self.record.lost_answers += 1;
-            let input = Input::Written(Err(uncertain()));
-            return self.after(STORE_TIMEOUT_US, Event::Advance(operator, serial, input));
-        }
-        self.reply(operator, serial, Input::Written(Ok(swap)));
-    }
-
-    /// An answer that takes longer than the time limit of the call counts as none.
-    fn reply(&mut self, operator: usize, serial: u64, input: Input) {
-        let delay_ms = self.rng.random_range(1..20);
-        self.after(
-            delay_ms * US_PER_MS,
-            Event::Advance(operator, serial, input),
-        );
-    }
-
-    /// The call itself is lost, which its sender cannot tell from a lost answer. A lost write may
-    /// still arrive much later.
-    fn reply_late(&mut self, message: &Message) {
-        match message {
-            Message::Read(operator, serial) => {
-                let input = Input::Read(Err(unavailable("get")));
-                self.after(STORE_TIMEOUT_US, Event::Advance(*operator, *serial, input));
-            }
-            Message::Write(operator, serial, expected, value) => {
-                let input = Input::Written(Err(uncertain()));
-                self.after(STORE_TIMEOUT_US, Event::Advance(*operator, *serial, input));
-                let late_us = self.rng.random_range(1_000..15_000) * US_PER_MS;
-                let late = Message::Write(*operator, 0, *expected, value.clone());
-                self.after(late_us, Event::Arrive(late));
-            }
-        }
-    }
-
-    fn reply_out(&mut self, message: &Message) {
-        match message {
-            Message::Read(operator, serial) => {
-                let input = Input::Read(Err(unavailable("get")));
-                self.reply(*operator, *serial, input);
-            }
-            Message::Write(operator, serial, ..) => {
-                let input = Input::Written(Err(unavailable("swap")));
-                self.reply(*operator, *serial, input);
-            }
-        }
-    }
-
     fn stored(&mut self, operator: usize, serial: u64, config: &Arc<Config>) {
         let Operator { at, ref id, .. } = self.operators[operator];
         let change = config.change(id).expect("the change is in its history");
@@ -515,19 +427,3 @@
         self.think(operator);
     }
 }
-
-fn unavailable(step: &'static str) -> StoreError {
-    StoreError::Unavailable {
-        step,
-        peer: "store".into(),
-        detail: "outage".into(),
-    }
-}
-
-fn uncertain() -> StoreError {
-    StoreError::Uncertain {
-        step: "swap",
-        peer: "store".into(),
-        detail: "timeout".into(),
-    }
-}
