--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -55,6 +55,8 @@
             optional --rounds count: u32
             /// Leave out the baseline.
             optional --no-baseline
+            /// Run the baseline alone.
+            optional --baseline-only
             /// Let each daemon keep its own store in memory.
             optional --memory
             /// Second part of the IP numbers that are used, and the next one.
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -54,7 +54,7 @@
 ) -> Result<Vec<Summary>, Box<dyn Error>> {
     let mut summaries = Vec::new();
     for number in 0..flags.rounds.unwrap_or(1) {
-        for policy in order(number, flags.no_baseline) {
+        for policy in order(number, flags) {
             eprintln!("lab: round {}, {policy}", number + 1);
             let directory = directory.join(format!("{}-{policy}", number + 1));
             fs::create_dir_all(&directory)?;
@@ -76,12 +76,16 @@
 }
 
 /// Which policy goes first changes from round to round.
-fn order(number: u32, no_baseline: bool) -> Vec<Policy> {
-    match (no_baseline, number % 2) {
-        (true, _) => vec![Policy::Shallotdeal],
-        (false, 0) => vec![Policy::Shallotdeal, Policy::Baseline],
-        (false, _) => vec![Policy::Baseline, Policy::Shallotdeal],
+fn order(number: u32, flags: &Run) -> Vec<Policy> {
+    let mut policies = vec![Policy::Shallotdeal, Policy::Baseline];
+    if number % 2 == 1 {
+        policies.reverse();
     }
+    policies.retain(|policy| match policy {
+        Policy::Shallotdeal => !flags.baseline_only,
+        Policy::Baseline => !flags.no_baseline,
+    });
+    policies
 }
 
 /// The daemon's binary: as given, or beside the lab's own.
