--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -63,6 +63,8 @@
             optional --net number: u8
             /// Factor of all surges, in place of the scenario's.
             optional --surge factor: f64
+            /// Write each round's requests and runs as lines of JSON into this directory.
+            optional --history directory: PathBuf
             /// Keep the daemons' settings and logs.
             optional --keep-logs
             /// Print JSON.
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -11,7 +11,8 @@
     std::{
         env,
         error::Error,
-        fs, io,
+        fs::{self, File},
+        io::{self, BufWriter},
         path::{Path, PathBuf},
         process,
         sync::Arc,
@@ -69,6 +70,11 @@
                 forwarders: true,
             };
             let outcome = task::block_on(round::run(scenario, settings))?;
+            if let Some(directory) = &flags.history {
+                fs::create_dir_all(directory)?;
+                let file = directory.join(format!("{}-{policy}.jsonl", number + 1));
+                outcome.history.write(BufWriter::new(File::create(file)?))?;
+            }
             summaries.push(Summary::new(policy, &outcome));
         }
     }
