--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -55,12 +55,16 @@
             optional --rounds count: u32
             /// Leave out the baseline.
             optional --no-baseline
+            /// Run the baseline alone.
+            optional --baseline-only
             /// Let each daemon keep its own store in memory.
             optional --memory
             /// Second part of the IP numbers that are used, and the next one.
             optional --net number: u8
             /// Factor of all surges, in place of the scenario's.
             optional --surge factor: f64
+            /// Write each round's requests and runs as lines of JSON into this directory.
+            optional --history directory: PathBuf
             /// Keep the daemons' settings and logs.
             optional --keep-logs
             /// Print JSON.
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -11,7 +11,8 @@
     std::{
         env,
         error::Error,
-        fs, io,
+        fs::{self, File},
+        io::{self, BufWriter},
         path::{Path, PathBuf},
         process,
         sync::Arc,
@@ -54,7 +55,7 @@
 ) -> Result<Vec<Summary>, Box<dyn Error>> {
     let mut summaries = Vec::new();
     for number in 0..flags.rounds.unwrap_or(1) {
-        for policy in order(number, flags.no_baseline) {
+        for policy in order(number, flags) {
             eprintln!("lab: round {}, {policy}", number + 1);
             let directory = directory.join(format!("{}-{policy}", number + 1));
             fs::create_dir_all(&directory)?;
@@ -69,6 +70,11 @@
                 forwarders: true,
             };
             let outcome = task::block_on(round::run(scenario, settings))?;
+            if let Some(directory) = &flags.history {
+                fs::create_dir_all(directory)?;
+                let file = directory.join(format!("{}-{policy}.jsonl", number + 1));
+                outcome.history.write(BufWriter::new(File::create(file)?))?;
+            }
             summaries.push(Summary::new(policy, &outcome));
         }
     }
@@ -76,12 +82,16 @@
 }
 
 /// Which policy goes first changes from round to round.
-fn order(number: u32, no_baseline: bool) -> Vec<Policy> {
-    match (no_baseline, number % 2) {
-        (true, _) => vec![Policy::Shallotdeal],
-        (false, 0) => vec![Policy::Shallotdeal, Policy::Baseline],
-        (false, _) => vec![Policy::Baseline, Policy::Shallotdeal],
+fn order(number: u32, flags: &Run) -> Vec<Policy> {
+    let mut policies = vec![Policy::Shallotdeal, Policy::Baseline];
+    if number % 2 == 1 {
+        policies.reverse();
     }
+    policies.retain(|policy| match policy {
+        Policy::Shallotdeal => !flags.baseline_only,
+        Policy::Baseline => !flags.no_baseline,
+    });
+    policies
 }
 
 /// The daemon's binary: as given, or beside the lab's own.
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -5,13 +5,17 @@
         record::{End, RequestRecord, RunEnd, RunEvent, RunStart},
         scenario::Scenario,
     },
+    serde::Serialize,
     shallotdeal::collections::HashMap,
     smol_str::SmolStr,
-    std::sync::Arc,
+    std::{
+        io::{self, Write},
+        sync::Arc,
+    },
 };
 
 /// One run at a backend server.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Run {
     /// Its beginning.
     pub start: RunStart,
@@ -27,6 +31,12 @@
         end.work_us.min(elapsed_us)
     }
 
+    /// Life of the backend server that ran it; a run's identity begins with it.
+    pub fn instance(&self) -> &str {
+        let id = self.start.run.as_str();
+        id.rsplit_once('-').map_or(id, |(instance, _)| instance)
+    }
+
     /// How it ended.
     pub fn ended(&self) -> Option<End> {
         self.end.as_ref().map(|end| end.end)
@@ -58,6 +68,19 @@
 }
 
 impl History {
+    /// Writes requests and runs as lines of JSON.
+    pub fn write(&self, mut out: impl Write) -> io::Result<()> {
+        for request in &self.requests {
+            serde_json::to_writer(&mut out, request)?;
+            writeln!(out)?;
+        }
+        for run in &self.runs {
+            serde_json::to_writer(&mut out, run)?;
+            writeln!(out)?;
+        }
+        out.flush()
+    }
+
     /// Joins beginnings and ends of runs, in the order of their beginnings.
     pub fn join_runs(events: impl IntoIterator<Item = RunEvent>) -> Vec<Run> {
         let mut runs: Vec<Run> = Vec::new();
--- a/lab/src/judge/outcome.rs
+++ b/lab/src/judge/outcome.rs
@@ -86,15 +86,22 @@
 pub(super) fn cut_by_drain(history: &History) -> Finding {
     let mut finding = Finding::new("a planned stop cuts off no request in flight");
     for departure in &history.departures {
-        let own = history
+        let own: Vec<&Run> = history
             .runs
             .iter()
-            .filter(|run| run.start.worker == departure.worker);
+            .filter(|run| run.start.worker == departure.worker)
+            .collect();
+        let leaving = own
+            .iter()
+            .rev()
+            .find(|run| run.start.at_us <= departure.at_us)
+            .map(|run| run.instance());
         for run in own {
-            let in_flight = run
-                .end
-                .as_ref()
-                .is_none_or(|end| end.at_us > departure.at_us);
+            let in_flight = Some(run.instance()) == leaving
+                && run
+                    .end
+                    .as_ref()
+                    .is_none_or(|end| end.at_us > departure.at_us);
             if in_flight {
                 let cut = run.end.is_none() || run.ended() == Some(End::Cancelled);
                 let gave_up = request_of(history, run).is_none_or(|request| !request.good);
--- a/lab/tests/judge.rs
+++ b/lab/tests/judge.rs
@@ -185,9 +185,15 @@
     let mut history = history();
     let sends = vec![send(0, 10, Verdict::Broken)];
     history.requests.push(request("a", "menu", sends));
+    let mut crashed = run("c", false, "", 5);
+    crashed.start.run = "earlier-1".into();
+    crashed.end = None;
     let mut cut = run("a", false, "", 11);
+    cut.start.run = "leaving-1".into();
     cut.end = None;
-    history.runs.extend([cut, run("b", false, "", 3_100)]);
+    history
+        .runs
+        .extend([crashed, cut, run("b", false, "", 3_100)]);
     history.departures.push(Departure {
         worker: "order-desk-1".into(),
         at_us: 15 * MS,
