Handle all requests of a daemon on one thread

Cause: a call through two daemons was handed between three threads at each of them (executor, calls, reactor); each hand-over is a wake-up.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,6 @@
     crate::{
         ask::executor::Executor,
         backend::HttpBackend,
-        call::Serve,
         clock::{Clock, SystemClock},
         config::Config,
         control::{committer::Committer, enforced::Live},
@@ -18,10 +17,7 @@
         },
         metrics::Metrics,
         node::{Node, Parts},
-        rpc::{
-            client::{self, ClientTask},
-            server,
-        },
+        rpc::client,
         settings::{Settings, StoreKind},
         store::{Store, http::HttpStore, memory::MemoryStore},
         supervisor::TaskError,
@@ -29,11 +25,11 @@
         tasks::{Tasks, supervise},
         view::NodeView,
     },
-    async_std::{net::TcpListener, task},
+    async_global_executor::GlobalExecutorConfig,
+    async_std::task,
     futures::{
-        FutureExt,
         channel::oneshot,
-        future::{Either, Shared, select},
+        future::{Either, select},
     },
     parking_lot::Mutex,
     rand::{RngExt, SeedableRng},
@@ -45,26 +41,27 @@
     std::{io, sync::Arc, thread},
 };
 
-/// Ends when the thread of the calls does.
-pub type CallsEnded = Shared<oneshot::Receiver<()>>;
-
 /// Runs a daemon until it is told to end or cannot go on.
 ///
+/// All requests are handled on the present thread: at a daemon's rate, handing them between
+/// threads costs more than it gains.
+///
 /// # Errors
 ///
 /// Fails with the task that could not be kept running.
 pub fn run(settings: Settings) -> Result<(), TaskError> {
-    let (tasks, client_task) = build(settings)?;
+    async_global_executor::init_with_config(
+        GlobalExecutorConfig::default().with_min_threads(1).with_max_threads(1),
+    );
+    let tasks = build(settings)?;
     let node = Arc::clone(&tasks.node);
     let gossip = tasks.gossip.clone();
     let (exit, exited) = oneshot::channel();
     node.local.lock().exit = Some(exit);
-    let calls = start_calls(Arc::clone(&node), client_task)
-        .map_err(|error| TaskError::new("calls", &error))?;
     watch_signals(Arc::clone(&node)).map_err(|error| TaskError::new("signals", &error))?;
     tracing::info!(daemon = %node.settings.place.name, "started");
     task::block_on(async {
-        let tree = Box::pin(supervise(tasks, calls).run());
+        let tree = Box::pin(supervise(tasks).run());
         match select(tree, exited).await {
             Either::Left((fault, _)) => Err(fault),
             Either::Right(_) => {
@@ -77,7 +74,7 @@
 }
 
 /// Puts the parts together; nothing runs yet.
-fn build(settings: Settings) -> Result<(Tasks, ClientTask), TaskError> {
+fn build(settings: Settings) -> Result<Tasks, TaskError> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let metrics = Arc::new(open_metrics(&settings)?);
     let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
@@ -121,17 +118,13 @@
         directory: Arc::clone(&directory),
         gossip: gossip.clone(),
     });
-    Ok((
-        Tasks {
+    Ok(Tasks {
             node,
             fleet,
             gossip,
             directory,
             executor,
-            dump,
-        },
-        client_task,
-    ))
+            dump, client_task })
 }
 
 fn first_config(settings: &Settings) -> Config {
@@ -176,24 +169,6 @@
     task::block_on(bound).map_err(|error| TaskError::new("gossip", &error))
 }
 
-/// Starts the thread that capnp-rpc's objects live on.
-fn start_calls(node: Arc<Node>, client_task: ClientTask) -> io::Result<CallsEnded> {
-    let listener = task::block_on(TcpListener::bind(node.settings.listen.calls_addr))?;
-    let serve: Arc<dyn Serve> = Arc::new(node);
-    let (running, ended) = oneshot::channel::<()>();
-    let work = move || {
-        let _running = running;
-        task::block_on(async move {
-            let listening = task::spawn_local(server::listen(listener, serve));
-            select(Box::pin(client_task.run()), listening).await;
-        });
-    };
-    thread::Builder::new()
-        .name("calls".to_owned())
-        .spawn(work)?;
-    Ok(ended.shared())
-}
-
 /// Turns the system's wish to end the process into a drain.
 fn watch_signals(node: Arc<Node>) -> io::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -8,13 +8,11 @@
         policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
         settings::Limits,
+        spawn::spawn,
     },
     async_h1::server::{ConnectionStatus, Server},
     async_io::Timer,
-    async_std::{
-        net::{TcpListener, TcpStream},
-        task,
-    },
+    async_std::net::{TcpListener, TcpStream},
     async_trait::async_trait,
     futures::{
         AsyncReadExt, AsyncWriteExt, FutureExt,
@@ -146,7 +144,7 @@
                 continue;
             }
             self.connections.fetch_add(1, Ordering::Relaxed);
-            task::spawn(Arc::clone(&self).connection(stream, app.clone()));
+            spawn("connection", Arc::clone(&self).connection(stream, app.clone()));
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod rpc;
 pub mod serve;
 pub mod settings;
+pub mod spawn;
 pub mod store;
 pub mod supervisor;
 pub mod sync;
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -7,9 +7,9 @@
         call_capnp::peer,
         collections::HashMap,
         net,
+        spawn::spawn,
     },
     async_channel::{Receiver, Sender},
-    async_std::task,
     async_trait::async_trait,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     futures::{
@@ -47,6 +47,7 @@
 }
 
 /// Work of the client; runs until all handles are dropped.
+#[derive(Clone)]
 pub struct ClientTask {
     jobs: Receiver<Job>,
     local_ip: IpAddr,
@@ -102,12 +103,12 @@
 type Connections = Rc<RefCell<HashMap<SocketAddr, Connecting>>>;
 
 impl ClientTask {
-    /// Sends calls as they come; must run on a thread of its own or one with local tasks.
+    /// Sends calls as they come; must run on a thread with local tasks.
     pub async fn run(self) {
         let connections = Connections::default();
         while let Ok(job) = self.jobs.recv().await {
             let connections = Rc::clone(&connections);
-            task::spawn_local(job.run(connections, self.local_ip));
+            spawn("call", job.run(connections, self.local_ip));
         }
     }
 }
@@ -200,7 +201,7 @@
         .map_err(|fault| error("connect", peer, fault.to_smolstr(), false))?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let client: peer::Client = system.bootstrap(Side::Server);
-    task::spawn_local(async move {
+    spawn("connection to daemon", async move {
         let ended = system.await;
         connections.borrow_mut().remove(&peer);
         tracing::debug!(%peer, ?ended, "connection to daemon ended");
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -5,14 +5,12 @@
     crate::{
         call::{Call, Serve},
         call_capnp::peer,
+        spawn::spawn,
     },
-    async_std::{
-        net::{TcpListener, TcpStream},
-        task,
-    },
+    async_std::net::{TcpListener, TcpStream},
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     futures::FutureExt,
-    std::{io, panic::AssertUnwindSafe, rc::Rc, sync::Arc},
+    std::{io, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc, sync::Arc},
 };
 
 struct Peer {
@@ -44,12 +42,13 @@
     }
 }
 
-/// Serves calls that arrive at `listener`; must run on a thread with local tasks.
-pub async fn listen(listener: TcpListener, serve: Arc<dyn Serve>) -> io::Result<()> {
+/// Serves calls that arrive at `addr`; must run on a thread with local tasks.
+pub async fn listen(addr: SocketAddr, serve: Arc<dyn Serve>) -> io::Result<()> {
+    let listener = TcpListener::bind(addr).await?;
     loop {
         let (stream, _) = listener.accept().await?;
         stream.set_nodelay(true)?;
-        task::spawn_local(connection(stream, Arc::clone(&serve)));
+        spawn("connection from daemon", connection(stream, Arc::clone(&serve)));
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,10 +13,10 @@
             ticket::Ticket,
             verdict::Denial,
         },
+        spawn::spawn,
         request::{Incarnation, Level, Outcome, Reason, Refusal},
         trace::Event,
     },
-    async_std::task,
     async_trait::async_trait,
     futures::{
         channel::oneshot,
@@ -60,7 +60,7 @@
                 Admission::Run(key) => {
                     let waiting = local.join(key);
                     // The run outlives the connection that brought it, so that a resend finds it.
-                    task::spawn(Arc::clone(self).run_once(work, key));
+                    spawn("order", Arc::clone(self).run_once(work, key));
                     waiting
                 }
             }
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -8,7 +8,7 @@
     derive_more::{Display, Error},
     futures::{
         FutureExt,
-        future::{BoxFuture, select_all},
+        future::{LocalBoxFuture, select_all},
     },
     smol_str::{SmolStr, ToSmolStr},
     std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
@@ -47,7 +47,7 @@
 }
 
 /// Way to start a task, again and again.
-pub type Start = Box<dyn Fn() -> BoxFuture<'static, Result<(), TaskError>> + Send + Sync>;
+pub type Start = Box<dyn Fn() -> LocalBoxFuture<'static, Result<(), TaskError>>>;
 
 /// Parent of long tasks.
 pub struct Supervisor {
@@ -67,20 +67,20 @@
     /// Adds a child.
     pub fn add<F, T>(&mut self, name: &'static str, start: F)
     where
-        F: Fn() -> T + Send + Sync + 'static,
-        T: Future<Output = Result<(), TaskError>> + Send + 'static,
+        F: Fn() -> T + 'static,
+        T: Future<Output = Result<(), TaskError>> + 'static,
     {
         self.children
-            .push((name, Box::new(move || start().boxed())));
+            .push((name, Box::new(move || start().boxed_local())));
     }
 
-    /// Runs all children until one of them cannot be kept running.
+    /// Runs all children on the present thread until one of them cannot be kept running.
     pub async fn run(self) -> TaskError {
         let metrics = self.metrics;
         let running: Vec<_> = self
             .children
             .into_iter()
-            .map(|(name, start)| task::spawn(keep(name, start, Arc::clone(&metrics))))
+            .map(|(name, start)| task::spawn_local(keep(name, start, Arc::clone(&metrics))))
             .collect();
         if running.is_empty() {
             return TaskError::new("supervisor", &"no children");
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         announce,
+        call::Serve,
         ask::executor::Executor,
         control::reader,
-        daemon::CallsEnded,
         directory::FleetDirectory,
         dump::Dump,
         fleet::{Fleet, udp::Gossip},
@@ -13,6 +13,7 @@
         local::Loss,
         node::Node,
         operators,
+        rpc::{client::ClientTask, server},
         policy::drain::DrainAction,
         supervisor::{Supervisor, TaskError},
         sync::{self, FleetView},
@@ -47,21 +48,18 @@
     pub executor: Arc<Executor>,
     /// State of the process on request.
     pub dump: Arc<Dump>,
+    /// Sending side of calls.
+    pub client_task: ClientTask,
 }
 
 /// Builds the tree: requests and the fleet are branches that fail and restart apart.
-pub fn supervise(tasks: Tasks, calls: CallsEnded) -> Supervisor {
+pub fn supervise(tasks: Tasks) -> Supervisor {
     let metrics = Arc::clone(&tasks.node.metrics);
     let tasks = Arc::new(tasks);
     let mut root = Supervisor::new(metrics);
     let branch = Arc::clone(&tasks);
     root.add("requests", move || request_tasks(&branch).run().map(Err));
     root.add("fleet", move || fleet_tasks(&tasks).run().map(Err));
-    root.add("calls", move || {
-        calls
-            .clone()
-            .map(|_| Err(TaskError::new("calls", &"its thread has ended")))
-    });
     root
 }
 
@@ -80,6 +78,15 @@
             .listen(listen.callers_addr)
             .map(|ended| named("ingress", ended))
     });
+    let client_task = tasks.client_task.clone();
+    branch.add("calls to daemons", move || {
+        client_task.clone().run().map(|()| Err(TaskError::new("calls to daemons", &"ended")))
+    });
+    let serve: Arc<dyn Serve> = Arc::new(Arc::clone(node));
+    branch.add("calls from daemons", move || {
+        server::listen(listen.calls_addr, Arc::clone(&serve))
+            .map(|ended| named("calls from daemons", ended))
+    });
     let worker = Arc::clone(node);
     branch.add("announce", move || {
         announce::listen(listen.worker_addr, Arc::clone(&worker))
