--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,199 @@
+//! Cost of each decision, by the size that it might depend on.
+
+use {
+    criterion::{BenchmarkId, Criterion, criterion_group, criterion_main},
+    shallotdeal::{
+        policy::{
+            gate::{Action, Arrival, Finish, Gate, Offer, WorkKey},
+            paths::PathLevels,
+            queue::{Order, Queue},
+            retry::{Accounts, CallerRatio, LoanSize},
+            shed::{GateRules, LevelControl, Load, Queued, WINDOW_US},
+        },
+        request::{Importance, Incarnation, Level, Rank, ServiceName},
+    },
+    std::hint::black_box,
+};
+
+const FAR_US: u64 = 1 << 50;
+
+fn rank(step: u64) -> Rank {
+    Rank::from_parts(Importance((step % 4) as u8), (step * 37) as u8)
+}
+
+fn arrival(step: u64) -> Arrival {
+    Arrival {
+        rank: rank(step),
+        deadline_us: FAR_US,
+        exclusive: false,
+    }
+}
+
+/// Gate with `slots` warm slots, all of them taken.
+fn full_gate(slots: u32) -> (Gate, Vec<WorkKey>) {
+    let mut gate = Gate::new(GateRules::new(50), 1);
+    gate.announce(slots, 0);
+    let mut actions = Vec::new();
+    let mut running = Vec::new();
+    let mut step = 0;
+    while running.len() < slots as usize {
+        match gate.offer(arrival(step), 1, &mut actions) {
+            Offer::Started(key) => running.push(key),
+            Offer::Queued(key) => gate.cancel(key, 1, &mut actions),
+            Offer::Refused(_) => {}
+        }
+        if gate.in_flight() == gate.report(1).limit as usize && running.len() < slots as usize {
+            let key = running.swap_remove(0);
+            gate.finish(key, Finish::Done, 1, &mut actions);
+        }
+        actions.clear();
+        step += 1;
+    }
+    (gate, running)
+}
+
+fn gates(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("gate/start-and-finish");
+    for in_flight in [20_u32, 200, 2_000] {
+        let (mut gate, mut running) = full_gate(in_flight);
+        let mut actions: Vec<Action> = Vec::new();
+        let mut step = 0;
+        group.bench_function(BenchmarkId::from_parameter(in_flight), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                let key = running.pop().unwrap();
+                gate.finish(key, Finish::Cancelled, 2, &mut actions);
+                if let Offer::Started(key) = gate.offer(arrival(step), 2, &mut actions) {
+                    running.push(key);
+                }
+                actions.clear();
+            });
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("gate/queue-and-cancel");
+    for queued in [20_u32, 200, 2_000] {
+        let (mut gate, _) = full_gate(queued);
+        let mut actions: Vec<Action> = Vec::new();
+        for step in 0..u64::from(queued) {
+            gate.offer(arrival(step), 2, &mut actions);
+        }
+        let mut step = 0;
+        group.bench_function(BenchmarkId::from_parameter(queued), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                if let Offer::Queued(key) = gate.offer(arrival(step), 2, &mut actions) {
+                    gate.cancel(key, 2, &mut actions);
+                }
+                actions.clear();
+            });
+        });
+    }
+    group.finish();
+}
+
+fn queues(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("queue/push-best-remove");
+    for waiting in [10_u64, 100, 1_000, 10_000] {
+        let mut queue = Queue::new();
+        for step in 0..waiting {
+            queue.push(rank(step), step, step);
+        }
+        let mut step = waiting;
+        group.bench_function(BenchmarkId::from_parameter(waiting), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                queue.push(rank(step), step, step);
+                let best = queue.best(Order::NewestFirst);
+                best.and_then(|(ticket, _)| queue.remove(ticket))
+            });
+        });
+    }
+    group.finish();
+}
+
+fn levels(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("level/window");
+    for importances in [1_u8, 4, 16, 64] {
+        let mut control = LevelControl::new(GateRules::new(50));
+        control.arrived(Rank::from_parts(Importance(importances - 1), 0));
+        let load = Load {
+            queued: 100,
+            in_flight: 20,
+            limit: 20,
+            latency_us: 50_000,
+        };
+        let queued = Queued::from([(Importance(0), 100)]);
+        let mut now_us = 0;
+        group.bench_function(BenchmarkId::from_parameter(importances), |bencher| {
+            bencher.iter(|| {
+                now_us += WINDOW_US;
+                control.roll(load, &queued, now_us)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn paths(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("paths/admit-and-learn");
+    for services in [4_usize, 40, 160, 1_600] {
+        let names: Vec<ServiceName> = (0..services)
+            .map(|index| format!("service-{index}").into())
+            .collect();
+        let mut paths = PathLevels::default();
+        for name in &names {
+            for worker in 0..8 {
+                paths.learn(name, Importance(1), Incarnation(worker), Level(300), 0);
+            }
+        }
+        let mut step = 0;
+        group.bench_function(BenchmarkId::from_parameter(services), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                let name = &names[step % services];
+                let worker = Incarnation(step as u64 % 8);
+                let verdict = paths.admit(name, rank(step as u64), 1);
+                paths.learn(name, Importance(1), worker, Level(300), 1);
+                black_box(verdict)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn retries(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("retry/lend-and-settle");
+    for accounts in [10_usize, 1_000, 100_000] {
+        let mut open = Accounts::new(LoanSize::HalfUp);
+        let keys: Vec<_> = (0..accounts).map(|_| open.open(3)).collect();
+        let mut step = 0;
+        group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                let key = keys[step % accounts];
+                if let Some(loan) = open.lend(key) {
+                    let tokens = loan.tokens();
+                    open.settle(key, loan, tokens);
+                }
+            });
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("retry/caller-resend");
+    for callers in [100_u64, 10_000, 1_000_000] {
+        let mut ratio = CallerRatio::new(16_384, 1);
+        let mut step = 0;
+        group.bench_function(BenchmarkId::from_parameter(callers), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                ratio.first(step % callers, step);
+                ratio.resend(step % callers, 10, step)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(decisions, gates, queues, levels, paths, retries);
+criterion_main!(decisions);
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -11,15 +11,10 @@
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    serde::{Deserialize, Serialize},
-    slotmap::{SlotMap, new_key_type},
-    std::collections::BTreeMap,
+    slotmap::SlotMap,
 };
 
-new_key_type! {
-    /// Key of one admitted piece of work, until it is refused or finished.
-    pub struct WorkKey;
-}
+pub use crate::policy::work::{Action, Arrival, Finish, GateCounters, GateReport, Offer, WorkKey};
 
 /// Shortest queue bound, in entries.
 const QUEUE_MIN: usize = 8;
@@ -33,48 +28,6 @@
 /// Latency assumed before the first sample.
 const LATENCY_UNKNOWN_US: u64 = 1_000;
 
-/// Request at the gate.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival {
-    /// Rank of the request.
-    pub rank: Rank,
-    /// Deadline on the monotonic clock.
-    pub deadline_us: u64,
-    /// Whether it must run alone, as a suspect of crashing backend servers.
-    pub exclusive: bool,
-}
-
-/// Answer to an arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Offer {
-    /// Send it to the backend server now.
-    Started(WorkKey),
-    /// It waits; an [`Action`] follows.
-    Queued(WorkKey),
-    /// It did not run and will not.
-    Refused(Refusal),
-}
-
-/// What to do with work that was queued.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Action {
-    /// Send it to the backend server now.
-    Start(WorkKey),
-    /// It did not run and will not; its key is void.
-    Refuse(WorkKey, Refusal),
-}
-
-/// How started work ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Finish {
-    /// With an answer.
-    Done,
-    /// Without an answer, or with one that says that the backend server shed it.
-    Failed,
-    /// Cancelled; its latency says nothing.
-    Cancelled,
-}
-
 #[derive(Debug, Clone, Copy)]
 enum State {
     Queued(Ticket),
@@ -87,44 +40,6 @@
     state: State,
 }
 
-/// Counts since the gate was made.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct GateCounters {
-    /// Arrivals.
-    pub offered: u64,
-    /// Work sent to the backend server.
-    pub started: u64,
-    /// Work that ended with an answer.
-    pub done: u64,
-    /// Work that ended without one.
-    pub failed: u64,
-    /// Work that was cancelled, queued or running.
-    pub cancelled: u64,
-    /// Refusals by reason.
-    pub refused: BTreeMap<Reason, u64>,
-}
-
-/// State of a gate, for dumps and gossip.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GateReport {
-    /// Admission level.
-    pub level: Level,
-    /// Concurrency limit.
-    pub limit: u32,
-    /// Work in flight.
-    pub in_flight: usize,
-    /// Waiting work by importance.
-    pub queued: BTreeMap<Importance, usize>,
-    /// Time in which the queue would drain.
-    pub queue_delay_us: u64,
-    /// Mean latency of the backend server.
-    pub latency_us: u64,
-    /// Whether the backend server is leaving.
-    pub draining: bool,
-    /// Counts since the gate was made.
-    pub counters: GateCounters,
-}
-
 /// Gate in front of one backend server.
 #[derive(Debug)]
 pub struct Gate {
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -7,7 +7,7 @@
 
 /// Samples that one epoch compares, for each slot of the limit, and their bounds.
 const EPOCH_SAMPLES_PER_SLOT: u32 = 8;
-const EPOCH_SAMPLES_MIN: u32 = 64;
+const EPOCH_SAMPLES_MIN: u32 = 96;
 const EPOCH_SAMPLES_MAX: u32 = 256;
 
 /// Longest epoch; a trial that takes longer is abandoned.
@@ -22,11 +22,14 @@
 /// Factor of a trial above the limit.
 const TRIAL_UP: f64 = 1.25;
 
+/// Factor by which a lowered limit stays above what the trial points to.
+const HEADROOM: f64 = 1.1;
+
 /// Elasticity of latency above which slots are not real.
 const ELASTIC: f64 = 0.75;
 
 /// Elasticity of latency below which slots are real.
-const INELASTIC: f64 = 0.25;
+const INELASTIC: f64 = 0.4;
 
 /// Elasticity beyond which something other than the limit has moved latency.
 const IMPLAUSIBLE: f64 = 1.6;
@@ -50,7 +53,10 @@
 const WAIT_MIN: u32 = 2;
 
 /// Epochs between trials while nothing changes.
-const WAIT_MAX: u32 = 64;
+const WAIT_MAX: u32 = 16;
+
+/// Epochs between trials while slots may not be real.
+const WAIT_SUSPECT: u32 = 8;
 
 /// Largest limit, in announced slots.
 const CEILING_FACTOR: f64 = 4.0;
@@ -321,15 +327,17 @@
     fn rested(&mut self, wait: u32, result: Measured) {
         let changed = ratio(result.mean_us, self.reference_us) > CHANGE;
         self.reference_us = result.mean_us;
+        let suspect = result.mean_us > self.lowest_us * SUSPECT || failing(result);
         if changed {
             self.wait = WAIT_MIN;
+        } else if suspect {
+            self.wait = self.wait.min(WAIT_SUSPECT);
         }
         let wait = wait.min(self.wait).saturating_sub(1);
         if wait > 0 || changed {
             self.phase = Phase::Rest { wait: wait.max(1) };
             return;
         }
-        let suspect = result.mean_us > self.lowest_us * SUSPECT || failing(result);
         self.direction = match self.direction {
             Direction::Up if suspect => Direction::Down,
             _ => Direction::Up,
@@ -343,7 +351,10 @@
 
     fn decide(&mut self, before: Measured, during: Measured, after: Measured, now_us: u64) {
         if self.accepts(before, during, after) {
-            self.base = self.trial();
+            self.base = match self.direction {
+                Direction::Down => self.trial() * HEADROOM,
+                Direction::Up => self.trial(),
+            };
             self.wait = WAIT_MIN;
             // The next trial turns the direction, so that this one is tried again.
             self.direction = match self.direction {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,3 +6,4 @@
 pub mod queue;
 pub mod retry;
 pub mod shed;
+pub mod work;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -21,9 +21,9 @@
     /// Half of what is held, rounded down.
     HalfDown,
     /// Half of what is held, rounded up.
+    #[default]
     HalfUp,
     /// All but one token.
-    #[default]
     KeepOne,
     /// All that is held.
     Everything,
