--- a/src/policy/alone.rs
+++ b/src/policy/alone.rs
@@ -15,6 +15,8 @@
     pub share_percent: u8,
     /// Time to wait for the worker to become empty, for one turn.
     pub emptying_ms: u32,
+    /// Time for which one turn may take further suspects, one after the other.
+    pub turn_ms: u32,
     /// Suspects that may wait.
     pub max_waiting: usize,
 }
@@ -24,6 +26,7 @@
         Self {
             share_percent: 25,
             emptying_ms: 200,
+            turn_ms: 200,
             max_waiting: 256,
         }
     }
@@ -100,9 +103,16 @@
         Some(key)
     }
 
-    /// Ends the turn of the suspect that runs, whatever became of it.
+    /// Ends the run of a suspect, whatever became of it; the turn may go on with the next one.
     pub fn end(&mut self, now_us: u64) {
-        if matches!(self.phase, Phase::Alone { .. }) {
+        let Phase::Alone { since_us } = self.phase else {
+            return;
+        };
+        let turn_us = u64::from(self.limits.turn_ms) * US_PER_MS;
+        let has_time = now_us.saturating_sub(since_us) < turn_us;
+        if has_time && !self.waiting.is_empty() {
+            self.phase = Phase::Emptying { since_us };
+        } else {
             self.open(now_us);
         }
     }
