--- a/src/policy/bind.rs
+++ b/src/policy/bind.rs
@@ -49,7 +49,7 @@
 impl Default for BindLimits {
     fn default() -> Self {
         Self {
-            calls_per_min: 24,
+            calls_per_min: 12,
             burst: 20,
             timeout_ms: 250,
             max_lifetime_ms: 600_000,
