--- a/examples/fleet_slopes.rs
+++ b/examples/fleet_slopes.rs
@@ -10,14 +10,33 @@
     },
     rand::Rng,
     shallotdeal::{
-        fleet::{FleetRules, member::Status},
-        place::DataCentre,
+        fleet::{
+            FleetRules,
+            member::{Generation, Status},
+            message::{Body, Message},
+            summary::Summary,
+        },
+        place::Region,
     },
     smol_str::{SmolStr, format_smolstr},
+    std::net::SocketAddr,
 };
 
 const SECOND_US: u64 = 1_000_000;
 const TRIALS: usize = 15;
+const SERVICES: usize = 160;
+const CENTRES: [(&str, &str); 10] = [
+    ("a1", "a"),
+    ("a2", "a"),
+    ("a3", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("b3", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+    ("d1", "d"),
+    ("d2", "d"),
+];
 
 fn main() {
     let args: Vec<_> = std::env::args().collect();
@@ -37,8 +56,14 @@
             print_loss(loss_percent);
         }
     }
+    if only.is_none_or(|only| only == "summaries") {
+        print_summaries();
+    }
     if only.is_none_or(|only| only == "centres") {
-        print_centres();
+        print_centres(16);
+    }
+    if only == Some("planned") {
+        print_centres(150);
     }
 }
 
@@ -149,51 +174,116 @@
     );
 }
 
-/// Ten data centres of 15 with 160 services; the speakers' work is that of the planned size.
-fn print_centres() {
+/// Ten data centres in four regions with 160 services.
+fn print_centres(members: usize) {
     let mut net = Net::new(11, FleetRules::default());
-    let centres = [
-        ("a1", "a"),
-        ("a2", "a"),
-        ("a3", "a"),
-        ("b1", "b"),
-        ("b2", "b"),
-        ("b3", "b"),
-        ("c1", "c"),
-        ("c2", "c"),
-        ("d1", "d"),
-        ("d2", "d"),
-    ];
     let mut number = 0;
-    for (data_centre, region) in centres {
-        for _ in 0..16 {
-            net.add(
-                data_centre,
-                region,
-                &format_smolstr!("service-{}", number % 160),
-            );
+    for (data_centre, region) in CENTRES {
+        for _ in 0..members {
+            let service = format_smolstr!("service-{}", number % SERVICES);
+            net.add(data_centre, region, &service);
             number += 1;
         }
     }
-    let known = net.run_until(300 * SECOND_US, |net| {
+    let known = net.run_until(600 * SECOND_US, |net| {
+        let offers = members.min(SERVICES) * (CENTRES.len() - 1);
         net.agrees()
             && net
                 .live()
-                .all(|node| node.fleet.remote().all_offers().len() == 144)
+                .all(|node| node.fleet.remote().all_offers().len() == offers)
     });
-    println!("10 centres of 16, 160 services: all offers known everywhere after {known:?} us");
+    println!("10 centres of {members}: cold start to all offers known everywhere {known:?} us");
     net.run(30 * SECOND_US);
-    print(&measure(&mut net, 30));
-    let first = DataCentre(SmolStr::new("a1"));
-    let of_first = |net: &Net| {
-        net.nodes
-            .iter()
-            .filter(|node| *node.fleet.data_centre() == first)
-            .map(|node| node.between_bytes)
-            .sum::<u64>()
-    };
+    print(&measure(&mut net, 20));
+    let sent = net.nodes[..members].iter().map(|node| node.between_bytes);
     println!(
-        "from one data centre to the nine others: {} B/s",
-        of_first(&net) / 30
+        "  from one data centre to the nine others: {} B/s",
+        sent.sum::<u64>() / 20
     );
+    print_remote_times(&mut net, members);
+}
+
+/// Time until a drain in the first data centre is known in all others.
+fn print_remote_times(net: &mut Net, members: usize) {
+    let mut times = Vec::new();
+    for at in 0..members.min(TRIALS) {
+        net.run(2 * SECOND_US);
+        let mut worker = net.nodes[at]
+            .fleet
+            .me()
+            .worker
+            .clone()
+            .unwrap_or_else(|| ad(1, "x"));
+        worker.draining = true;
+        let (service, incarnation) = (worker.service.clone(), worker.incarnation);
+        net.nodes[at].fleet.set_worker(Some(worker));
+        times.extend(net.run_until(60 * SECOND_US, |net| {
+            net.nodes[members..].iter().all(|node| {
+                let mut offers = node.fleet.remote().offers(&service);
+                offers.all(|offer| {
+                    offer
+                        .workers
+                        .iter()
+                        .all(|worker| worker.incarnation != incarnation)
+                })
+            })
+        }));
+    }
+    print_times_of("drain known in the nine others", times);
+}
+
+/// Bytes from a data centre of 150 to another one: whole tables against changes only.
+fn print_summaries() {
+    for changing in [false, true] {
+        let mut net = Net::new(13, FleetRules::default());
+        for number in 0..150 {
+            net.add("a1", "a", &format_smolstr!("service-{number}"));
+        }
+        for _ in 0..3 {
+            net.add("b1", "b", "service-0");
+        }
+        net.run(120 * SECOND_US);
+        if changing {
+            measure(&mut net, 20);
+        }
+        let before: u64 = net.nodes[..150].iter().map(|node| node.between_bytes).sum();
+        if changing {
+            measure(&mut net, 60);
+        } else {
+            net.run(60 * SECOND_US);
+        }
+        let after: u64 = net.nodes[..150].iter().map(|node| node.between_bytes).sum();
+        let bytes = if changing { after } else { after - before };
+        let whole: usize = net.nodes[151]
+            .fleet
+            .remote()
+            .all_offers()
+            .values()
+            .map(whole_bytes)
+            .sum();
+        println!(
+            "150 services, changing {changing}: changes only {} B/s; whole table {whole} B",
+            bytes / 60
+        );
+    }
+}
+
+/// Bytes of one summary in a datagram of its own, without the datagram's header.
+fn whole_bytes(summary: &Summary) -> usize {
+    let me = SocketAddr::from(([10, 0, 0, 1], 1));
+    let mut message = Message {
+        from: me,
+        generation: Generation(1),
+        data_centre: summary.data_centre.clone(),
+        region: Region(SmolStr::new("a")),
+        body: Body::News,
+        members: Vec::new(),
+        lights: Vec::new(),
+        beats: Vec::new(),
+        summaries: Vec::new(),
+        wants: Vec::new(),
+    };
+    let empty = message.encode().len();
+    message.summaries.push(summary.clone());
+    message.encode().len() - empty
 }
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -56,6 +56,8 @@
             .remote
             .meet(&message.data_centre, &message.region, message.from);
         if is_new {
+            let subject = Subject::Beat(message.data_centre.clone());
+            self.news.push(subject, Urgency::Normal, self.live);
             self.events.push(Event::CentreMet {
                 data_centre: message.data_centre.clone(),
             });
@@ -277,8 +279,15 @@
         for beat in beats {
             if beat.data_centre == self.me.place.data_centre {
                 self.speaker.hear_own_beat(beat.beat);
+                continue;
+            }
+            let subject = Subject::Beat(beat.data_centre.clone());
+            if !self.remote.knows(&beat.data_centre) {
+                self.remote
+                    .meet(&beat.data_centre, &beat.region, beat.contact);
+                self.remote.take_beat(beat, now_us);
+                self.news.push(subject, Urgency::Normal, self.live);
             } else if self.remote.take_beat(beat, now_us) {
-                let subject = Subject::Beat(beat.data_centre.clone());
                 self.news.push(subject, Urgency::Low, self.live);
             } else if !is_local {
                 known.beats.extend(self.remote.beat(&beat.data_centre));
@@ -296,10 +305,10 @@
         for summary in summaries {
             if summary.data_centre == self.me.place.data_centre {
                 self.speaker.hear_own_summary(summary);
-            } else if self.remote.take_summary(summary) {
+            } else if let Some(urgency) = self.remote.take_summary(summary) {
                 fresh += 1;
                 let subject = Subject::Summary(summary.key());
-                self.news.push(subject, Urgency::Normal, self.live);
+                self.news.push(subject, urgency, self.live);
             } else if !is_local {
                 self.push_newer_summary(summary, known);
             }
--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -110,12 +110,17 @@
         let member = &self.peers[key].member;
         let target = Target::Member(key, member.generation);
         let to = member.place.gossip_addr;
-        self.ping(to, Some(key), target, now_us, out);
+        self.ping(to, Some(key), target, false, now_us, out);
     }
 
     /// Sends a ping to an address behind which any daemon may be.
     pub(super) fn ping_contact(&mut self, to: SocketAddr, now_us: u64, out: &mut Vec<Send>) {
-        self.ping(to, None, Target::Contact, now_us, out);
+        self.ping(to, None, Target::Contact, true, now_us, out);
+    }
+
+    /// Measures the round trip to another data centre.
+    pub(super) fn ping_centre(&mut self, to: SocketAddr, now_us: u64, out: &mut Vec<Send>) {
+        self.ping(to, None, Target::Contact, false, now_us, out);
     }
 
     fn ping(
@@ -123,11 +128,11 @@
         to: SocketAddr,
         key: Option<MemberKey>,
         target: Target,
+        introduces: bool,
         now_us: u64,
         out: &mut Vec<Send>,
     ) {
         let sequence = self.probes.sequence();
-        let is_contact = target == Target::Contact;
         self.probes.under_way.push(Probe {
             sequence,
             target,
@@ -135,10 +140,12 @@
             relayed: false,
         });
         let mut message = self.message(Body::Ping { sequence });
-        if is_contact {
+        if introduces {
             message.members.push(self.me.clone());
         }
-        self.carry(&mut message, key);
+        if introduces || key.is_some() {
+            self.carry(&mut message, key);
+        }
         self.counters.probes += 1;
         self.send(to, message, out);
     }
@@ -326,7 +333,7 @@
     /// Sends a dead member its verdict, so that it can refute it.
     pub(super) fn ping_dead(&mut self, key: MemberKey, now_us: u64, out: &mut Vec<Send>) {
         let to = self.peers[key].member.place.gossip_addr;
-        self.ping(to, Some(key), Target::Contact, now_us, out);
+        self.ping(to, Some(key), Target::Contact, true, now_us, out);
     }
 
     /// Random live members, without one of them.
--- a/src/fleet/speaker.rs
+++ b/src/fleet/speaker.rs
@@ -8,6 +8,7 @@
         Fleet,
         member::{Member, WorkerAd},
         message::{Body, Send, mix, part_of, stable_hash},
+        news::Urgency,
         summary::{Beat, Summary, SummaryWorker},
         sync::{bits_for, summary_cost},
     },
@@ -45,10 +46,13 @@
 const DIGEST_US: u64 = 10_000_000;
 
 /// Time between two changes of one summary whose workers stay the same.
-const CHANGE_US: u64 = 2_000_000;
+const LEVEL_CHANGE_US: u64 = 2_000_000;
+
+/// Time between two changes of one summary of which only the load is another.
+const LOAD_CHANGE_US: u64 = 10_000_000;
 
 /// Steps of the load that are told apart.
-const LOAD_STEPS: u32 = 4;
+const LOAD_STEPS: u32 = 2;
 
 /// Ranks in one step of the level that is told apart.
 const LEVEL_STEP: u32 = 64;
@@ -141,9 +145,13 @@
                 Entry::Occupied(mut entry) => {
                     let offer = entry.get_mut();
                     summary.version = offer.summary.version;
-                    let is_late = now_us.saturating_sub(offer.changed_us) >= CHANGE_US;
-                    let is_urgent = summary.workers != offer.summary.workers;
-                    if summary != offer.summary && (is_late || is_urgent) {
+                    let age_us = now_us.saturating_sub(offer.changed_us);
+                    let wait_us = match offer.summary.urgency_of(&summary) {
+                        Urgency::High => 0,
+                        Urgency::Normal => LEVEL_CHANGE_US,
+                        Urgency::Low => LOAD_CHANGE_US,
+                    };
+                    if summary != offer.summary && age_us >= wait_us {
                         summary.version = summary.version.saturating_add(1);
                         offer.summary = summary;
                         offer.changed_us = now_us;
--- a/src/fleet/summary.rs
+++ b/src/fleet/summary.rs
@@ -1,7 +1,10 @@
 //! What is known of other data centres.
 
 use {
-    super::message::{mix, stable_hash},
+    super::{
+        message::{mix, stable_hash},
+        news::Urgency,
+    },
     crate::{
         collections::HashMap,
         config::Revision,
@@ -78,6 +81,17 @@
     pub fn key(&self) -> u64 {
         summary_key(&self.data_centre, &self.service)
     }
+
+    /// Tells how soon the change to `next` has to be known.
+    pub(super) fn urgency_of(&self, next: &Self) -> Urgency {
+        if self.workers != next.workers {
+            Urgency::High
+        } else if self.level != next.level {
+            Urgency::Normal
+        } else {
+            Urgency::Low
+        }
+    }
 }
 
 /// What is known of another data centre as a whole.
@@ -171,6 +185,11 @@
         }
     }
 
+    /// Tells whether anything is known of a data centre.
+    pub(super) fn knows(&self, data_centre: &DataCentre) -> bool {
+        self.centres.contains_key(data_centre)
+    }
+
     /// Takes over a beat if it is newer. Tells whether it was.
     pub(super) fn take_beat(&mut self, beat: &Beat, now_us: u64) -> bool {
         let centre = self.centre(&beat.data_centre, &beat.region);
@@ -186,19 +205,23 @@
         true
     }
 
-    /// Takes over a summary if it is newer. Tells whether it was.
-    pub(super) fn take_summary(&mut self, summary: &Summary) -> bool {
+    /// Takes over a summary if it is newer. Tells how urgent the news are, if it was.
+    pub(super) fn take_summary(&mut self, summary: &Summary) -> Option<Urgency> {
         let key = summary.key();
+        let mut urgency = Urgency::High;
         match self.offers.get_mut(&key) {
-            Some(held) if held.version >= summary.version => return false,
-            Some(held) => held.clone_from(summary),
+            Some(held) if held.version >= summary.version => return None,
+            Some(held) => {
+                urgency = held.urgency_of(summary);
+                held.clone_from(summary);
+            }
             None => {
                 self.offers.insert(key, summary.clone());
                 let keys = self.by_service.entry(summary.service.clone()).or_default();
                 keys.push(key);
             }
         }
-        true
+        Some(urgency)
     }
 
     /// Beat of a data centre as it can be passed on.
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -11,6 +11,12 @@
 /// Time that the budget may be saved for.
 const BUDGET_WINDOW_S: u64 = 3;
 
+/// First contacts that are tried at once.
+const SEEDS_AT_ONCE: usize = 32;
+
+/// Live members of which each tries contacts at every turn.
+const CONTACT_MEMBERS: usize = 8;
+
 /// Live members for which the load may be announced at the shortest interval.
 const LOAD_MEMBERS: u64 = 50;
 
@@ -26,6 +32,7 @@
     speak_us: u64,
     part: u32,
     contact: usize,
+    seeds_tried: usize,
     budget_bytes: i64,
 }
 
@@ -59,7 +66,7 @@
     fn refill(&mut self, elapsed_us: u64, bytes_per_s: u64) {
         let most = (bytes_per_s * BUDGET_WINDOW_S).cast_signed();
         let added = elapsed_us.min(BUDGET_WINDOW_S * 1_000_000) * bytes_per_s / 1_000_000;
-        self.budget_bytes = (self.budget_bytes + added.cast_signed()).clamp(-most, most);
+        self.budget_bytes = (self.budget_bytes + added.cast_signed()).clamp(-most / 3, most);
     }
 }
 
@@ -207,11 +214,25 @@
     fn seek_contact(&mut self, now_us: u64, out: &mut Vec<Send>) {
         self.timers.contact = self.timers.contact.wrapping_add(1);
         if self.live == 0 {
-            for seed in self.seeds.clone() {
+            self.timers.seeds_tried = 0;
+        }
+        let untried = self.timers.seeds_tried.min(self.seeds.len());
+        let first: Vec<_> = self.seeds[untried..]
+            .iter()
+            .copied()
+            .take(SEEDS_AT_ONCE)
+            .collect();
+        if !first.is_empty() {
+            self.timers.seeds_tried = untried + first.len();
+            for seed in first {
                 self.ping_contact(seed, now_us, out);
             }
             return;
         }
+        // All members together try often enough; each one alone does so the less often.
+        if self.below(self.live / CONTACT_MEMBERS + 1) > 0 {
+            return;
+        }
         match self.timers.contact % 3 {
             0 => self.seek_seed(now_us, out),
             1 => self.seek_dead(now_us, out),
@@ -251,6 +272,6 @@
             return;
         }
         let at = self.below(contacts.len());
-        self.ping_contact(contacts[at], now_us, out);
+        self.ping_centre(contacts[at], now_us, out);
     }
 }
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -46,7 +46,6 @@
     pub between_bytes: u64,
     pub cpu: Duration,
     pub events: Vec<(u64, Event)>,
-    next_tick_us: u64,
     inbox: Vec<Vec<u8>>,
 }
 
@@ -59,6 +58,7 @@
     rules: FleetRules,
     by_addr: BTreeMap<SocketAddr, usize>,
     in_flight: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
+    ticks: BTreeSet<(u64, usize)>,
     sequence: u64,
     next_port: u16,
 }
@@ -74,6 +74,7 @@
             rules,
             by_addr: BTreeMap::new(),
             in_flight: BTreeMap::new(),
+            ticks: BTreeSet::new(),
             sequence: 0,
             next_port: 10_000,
         }
@@ -114,6 +115,7 @@
         fleet.set_worker(Some(ad(generation.0, service)));
         let next_tick_us = self.now_us + self.rng.next_u64() % TICK_US;
         let at = self.nodes.len();
+        self.ticks.insert((next_tick_us, at));
         self.nodes.push(Node {
             fleet,
             addr,
@@ -126,7 +128,6 @@
             between_bytes: 0,
             cpu: Duration::ZERO,
             events: Vec::new(),
-            next_tick_us,
             inbox: Vec::new(),
         });
         self.by_addr.insert(addr, at);
@@ -201,10 +202,8 @@
     }
 
     fn step(&mut self, end_us: u64) -> bool {
-        let tick = (0..self.nodes.len())
-            .filter(|at| self.nodes[*at].up)
-            .min_by_key(|at| self.nodes[*at].next_tick_us);
-        let tick_us = tick.map_or(u64::MAX, |at| self.nodes[at].next_tick_us);
+        let tick = self.ticks.first().copied();
+        let tick_us = tick.map_or(u64::MAX, |(tick_us, _)| tick_us);
         let arrival_us = self.in_flight.keys().next().map_or(u64::MAX, |key| key.0);
         let at_us = tick_us.min(arrival_us);
         if at_us > end_us {
@@ -215,7 +214,7 @@
             if let Some((_, (to, bytes))) = self.in_flight.pop_first() {
                 self.arrive(to, bytes);
             }
-        } else if let Some(at) = tick {
+        } else if let Some((_, at)) = self.ticks.pop_first() {
             self.tick(at);
         }
         true
@@ -224,11 +223,14 @@
     fn tick(&mut self, at: usize) {
         let now_us = self.now_us;
         let node = &mut self.nodes[at];
+        if !node.up {
+            return;
+        }
         if node.paused_until_us > now_us {
-            node.next_tick_us = node.paused_until_us;
+            self.ticks.insert((node.paused_until_us, at));
             return;
         }
-        node.next_tick_us = now_us + TICK_US;
+        self.ticks.insert((now_us + TICK_US, at));
         for bytes in std::mem::take(&mut node.inbox) {
             self.arrive(at, bytes);
         }
