--- a/lab/src/judge/calls.rs
+++ b/lab/src/judge/calls.rs
@@ -31,7 +31,10 @@
         finding.check(count <= allowance, || {
             example(
                 &request.request,
-                &format_smolstr!("{count} extra calls, {allowance} allowed"),
+                &format_smolstr!(
+                    "{count} extra calls, {allowance} allowed; the caller sent it {} times",
+                    request.sends.len()
+                ),
             )
         });
     }
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -137,6 +137,17 @@
         Some(pages * PAGE_BYTES)
     }
 
+    /// Processor time used so far.
+    pub fn processor_ms(&self) -> Option<u64> {
+        const TICK_MS: u64 = 10;
+        let text = fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
+        // The name before the last bracket may hold spaces; user and system time follow.
+        let (_, fields) = text.rsplit_once(')')?;
+        let times = fields.split_whitespace().skip(11).take(2);
+        let ticks = times.map(|field| field.parse::<u64>().unwrap_or(0));
+        Some(ticks.sum::<u64>() * TICK_MS)
+    }
+
     fn spawn(name: &str, mut command: Command) -> Result<Self, ProcessError> {
         let child = command
             .stdin(Stdio::null())
--- a/lab/src/round.rs
+++ b/lab/src/round.rs
@@ -114,6 +114,8 @@
     pub region_bytes: u64,
     /// Largest resident memory of a daemon at the end.
     pub daemon_bytes: u64,
+    /// Processor time of the busiest daemon over the counted load.
+    pub daemon_processor_ms: u64,
 }
 
 /// A round under way.
@@ -129,6 +131,7 @@
     departures: Vec<Departure>,
     notes: Vec<FaultNote>,
     daemon_bytes: u64,
+    daemon_processor_ms: u64,
 }
 
 /// Runs a scenario once under one policy.
@@ -185,6 +188,7 @@
             departures: Vec::new(),
             notes: Vec::new(),
             daemon_bytes: 0,
+            daemon_processor_ms: 0,
         })
     }
 
@@ -199,6 +203,7 @@
             .await;
         let begin_us = unix_us();
         let begin = Instant::now();
+        let used_before: Vec<u64> = self.hosts.iter().map(Host::daemon_processor_ms).collect();
         let mut timeline = Timeline::new(&self.scenario.faults);
         while let Some((at, action)) = timeline.next() {
             self.idle_until(begin + at).await;
@@ -206,6 +211,13 @@
         }
         let end = begin + Duration::from_millis(self.scenario.run_ms);
         self.idle_until(end).await;
+        self.daemon_processor_ms = self
+            .hosts
+            .iter()
+            .zip(used_before)
+            .map(|(host, before)| host.daemon_processor_ms().saturating_sub(before))
+            .max()
+            .unwrap_or(0);
         self.daemon_bytes = self.hosts.iter().map(Host::daemon_bytes).max().unwrap_or(0);
         self.manners.stop();
         let settled = Instant::now() + SETTLE_LIMIT;
@@ -290,6 +302,7 @@
             notes: self.notes,
             region_bytes: self.network.region_bytes(),
             daemon_bytes: self.daemon_bytes,
+            daemon_processor_ms: self.daemon_processor_ms,
         }
     }
 }
--- a/lab/src/round/host.rs
+++ b/lab/src/round/host.rs
@@ -258,6 +258,15 @@
             .unwrap_or(0)
     }
 
+    /// Processor time that the daemon has used.
+    pub(super) fn daemon_processor_ms(&self) -> u64 {
+        self.daemon
+            .process
+            .as_ref()
+            .and_then(Process::processor_ms)
+            .unwrap_or(0)
+    }
+
     /// Waits until daemon and backend server answer.
     pub(super) async fn boot(&mut self, until: Instant) -> Result<(), RoundError> {
         while !self.answers().await {
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -44,6 +44,8 @@
     pub region_bytes: u64,
     /// Largest resident memory of a daemon at the end of the load.
     pub daemon_bytes: u64,
+    /// Processor time of the busiest daemon, as a share of one core.
+    pub daemon_processor_percent: f64,
     /// Sends that were not done, by what came back and the reason given.
     pub refusals: Vec<Refusals>,
     /// The promises, checked.
@@ -99,6 +101,8 @@
             scarce_percent: scarce_percent(history, span_ms),
             region_bytes: outcome.region_bytes,
             daemon_bytes: outcome.daemon_bytes,
+            daemon_processor_percent: outcome.daemon_processor_ms as f64 * 100.0
+                / history.scenario.run_ms.max(1) as f64,
             refusals: Refusals::count(&history.requests),
             findings: judge(history),
             notes: outcome.notes.clone(),
@@ -145,9 +149,10 @@
         }
         writeln!(
             text,
-            "  between regions   {:.2} MB; largest daemon {:.1} MB resident",
+            "  between regions   {:.2} MB; largest daemon {:.1} MB resident, busiest {:.0}% of a core",
             self.region_bytes as f64 / 1e6,
-            self.daemon_bytes as f64 / 1e6
+            self.daemon_bytes as f64 / 1e6,
+            self.daemon_processor_percent,
         )?;
         for refusals in &self.refusals {
             writeln!(text, "  {refusals}")?;
