--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -39,6 +39,7 @@
     hard_resends: AtomicU32,
     stopped: AtomicBool,
     in_flight: AtomicU32,
+    latest_us: AtomicU64,
 }
 
 /// Callers of a scenario.
@@ -61,9 +62,15 @@
             hard_resends: AtomicU32::new(0),
             stopped: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
+            latest_us: AtomicU64::new(0),
         }
     }
 
+    /// Longest delay of an arrival so far; a starved machine shows here.
+    pub fn latest_us(&self) -> u64 {
+        self.latest_us.load(Ordering::Relaxed)
+    }
+
     /// Makes one load arrive `factor` times as often.
     pub fn surge(&self, load: usize, factor: f64) {
         self.factors[load].store(factor.to_bits(), Ordering::Relaxed);
@@ -149,6 +156,8 @@
             let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
             due += Duration::from_secs_f64(-uniform.ln() / rate_per_s.max(0.001));
             task::sleep(due.saturating_duration_since(Instant::now())).await;
+            let late_us = due.elapsed().as_micros() as u64;
+            self.manners.latest_us.fetch_max(late_us, Ordering::Relaxed);
             if self.manners.in_flight() < IN_FLIGHT_LIMIT
                 && let Some(errand) = self.errand(load, &mut rng)
             {
--- a/lab/src/round.rs
+++ b/lab/src/round.rs
@@ -116,6 +116,8 @@
     pub daemon_bytes: u64,
     /// Processor time of the busiest daemon over the counted load.
     pub daemon_processor_ms: u64,
+    /// Longest delay of an arrival.
+    pub latest_us: u64,
 }
 
 /// A round under way.
@@ -303,6 +305,7 @@
             region_bytes: self.network.region_bytes(),
             daemon_bytes: self.daemon_bytes,
             daemon_processor_ms: self.daemon_processor_ms,
+            latest_us: self.manners.latest_us(),
         }
     }
 }
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -46,6 +46,8 @@
     pub daemon_bytes: u64,
     /// Processor time of the busiest daemon, as a share of one core.
     pub daemon_processor_percent: f64,
+    /// Longest delay of an arrival; a starved machine shows here.
+    pub arrivals_latest_us: u64,
     /// Sends that were not done, by what came back and the reason given.
     pub refusals: Vec<Refusals>,
     /// The promises, checked.
@@ -103,6 +105,7 @@
             daemon_bytes: outcome.daemon_bytes,
             daemon_processor_percent: outcome.daemon_processor_ms as f64 * 100.0
                 / history.scenario.run_ms.max(1) as f64,
+            arrivals_latest_us: outcome.latest_us,
             refusals: Refusals::count(&history.requests),
             findings: judge(history),
             notes: outcome.notes.clone(),
@@ -154,6 +157,11 @@
             self.daemon_bytes as f64 / 1e6,
             self.daemon_processor_percent,
         )?;
+        writeln!(
+            text,
+            "  arrivals late by  {:.1} ms at most",
+            self.arrivals_latest_us as f64 / 1_000.0
+        )?;
         for refusals in &self.refusals {
             writeln!(text, "  {refusals}")?;
         }
