--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,4 +10,7 @@
 pub mod queue;
 pub mod retry;
 pub mod shed;
+pub mod suspect;
+pub mod ticket;
+pub mod verdict;
 pub mod work;
