Pass on little of what a comparison of digests brought

A daemon that joined passed on every record that it caught up with as urgent news, outside the byte budget, though all others knew them. Datagrams that follow from a comparison are now marked and new records in them are passed on last.

--- a/examples/fleet_slopes.rs
+++ b/examples/fleet_slopes.rs
@@ -199,6 +199,23 @@
         sent.sum::<u64>() / 20
     );
     print_remote_times(&mut net, members);
+    print_joiner(&mut net, members);
+}
+
+/// What one daemon that joins late sends until it knows all offers.
+fn print_joiner(net: &mut Net, members: usize) {
+    let (data_centre, region) = CENTRES[0];
+    let joiner = net.add(data_centre, region, "service-0");
+    let offers = members.min(SERVICES) * (CENTRES.len() - 1);
+    let known = net.run_until(300 * SECOND_US, |net| {
+        net.nodes[joiner].fleet.remote().all_offers().len() >= offers
+    });
+    let known_ms = known.map(|us| us / 1_000);
+    let sent = net.nodes[joiner].sent_bytes;
+    println!("a joiner knows all offers after {known_ms:?} ms, having sent {sent} B");
+    net.run(30 * SECOND_US);
+    let more = net.nodes[joiner].sent_bytes - sent;
+    println!("  and sends {more} B in the 30 s after that");
 }
 
 /// Time until a drain in the first data centre is known in all others.
@@ -280,6 +297,7 @@
         beats: Vec::new(),
         summaries: Vec::new(),
         wants: Vec::new(),
+        repair: false,
     };
     let empty = message.encode().len();
     message.summaries.push(summary.clone());
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -19,6 +19,7 @@
   beats @11 :List(Beat);
   summaries @12 :List(Summary);
   wants @13 :List(UInt64);   # Keys whose whole records the sender asks for.
+  repair @14 :Bool;          # Follows from a comparison of digests, so is hardly news.
 }
 
 struct Address {
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -66,6 +66,7 @@
         for (index, summary) in (0..).zip(&self.summaries) {
             write_summary(summary, summaries.reborrow().get(index));
         }
+        to.set_repair(self.repair);
         let mut wants = to.init_wants(self.wants.len() as u32);
         for (index, want) in (0..).zip(&self.wants) {
             wants.set(index, *want);
@@ -84,6 +85,7 @@
             beats: collect(from.get_beats()?.iter(), read_beat)?,
             summaries: collect(from.get_summaries()?.iter(), read_summary)?,
             wants: from.get_wants()?.iter().collect(),
+            repair: from.get_repair(),
         })
     }
 }
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -27,7 +27,7 @@
         let mut wants = Vec::new();
         let mut fresh = 0;
         if is_local {
-            fresh += self.take_members(&message.members, now_us);
+            fresh += self.take_members(message, now_us);
             self.take_lights(&message.lights, now_us, &mut wants);
             self.heard(message.generation, now_us, &mut wants);
         } else {
@@ -35,14 +35,15 @@
         }
         let mut known = self.message(Body::News);
         self.take_beats(&message.beats, now_us, is_local, &mut known);
-        fresh += self.take_summaries(&message.summaries, is_local, &mut known);
+        fresh += self.take_summaries(message, is_local, &mut known);
         if fresh >= CATCH_UP_RECORDS {
             self.timers.sync_soon(now_us);
         }
         known.wants = wants;
         let from = message.from;
-        self.answer_wants(&message.wants, from, out);
+        self.answer_wants(&message.wants, from, message.repair, out);
         if let Body::Digest(digest) = &message.body {
+            known.repair = true;
             self.answer_digest(digest, message, &mut known, out);
         }
         if !known.wants.is_empty() || !known.beats.is_empty() || !known.summaries.is_empty() {
@@ -74,16 +75,16 @@
         }
     }
 
-    fn take_members(&mut self, members: &[Member], now_us: u64) -> usize {
+    fn take_members(&mut self, message: &Message, now_us: u64) -> usize {
         let mut fresh = 0;
-        for member in members {
+        for member in &message.members {
             if member.place.data_centre != self.me.place.data_centre {
                 continue;
             }
             if member.place.name == self.me.place.name {
                 self.hear_of_self(member.generation, member.status, member.version, now_us);
             } else {
-                fresh += usize::from(self.take_member(member, now_us));
+                fresh += usize::from(self.take_member(member, message.repair, now_us));
             }
         }
         fresh
@@ -120,19 +121,19 @@
     }
 
     /// Tells whether the member was unknown.
-    fn take_member(&mut self, member: &Member, now_us: u64) -> bool {
+    fn take_member(&mut self, member: &Member, repair: bool, now_us: u64) -> bool {
         if member.suspects.len() > MAX_SUSPECTS_BYTES {
             return false;
         }
         let Some(key) = self.by_name.get(&member.place.name).copied() else {
-            return self.insert(member, now_us);
+            return self.insert(member, repair, now_us);
         };
         let Some(peer) = self.peers.get_mut(key) else {
             return false;
         };
         if peer.member.generation < member.generation {
             self.remove(key);
-            return self.insert(member, now_us);
+            return self.insert(member, repair, now_us);
         }
         let is_newer =
             peer.member.generation == member.generation && peer.member.order() < member.order();
@@ -168,7 +169,7 @@
         self.note_change(key, &before, now_us);
     }
 
-    fn insert(&mut self, member: &Member, now_us: u64) -> bool {
+    fn insert(&mut self, member: &Member, repair: bool, now_us: u64) -> bool {
         if !member.status.is_live() {
             return false;
         }
@@ -186,7 +187,7 @@
         self.live += 1;
         self.probes.add(key, &mut self.rng);
         let subject = Subject::Member(member.generation.0);
-        self.news.push(subject, Urgency::High, self.live);
+        self.news.push(subject, urgency_of_new(repair), self.live);
         self.events.push(Event::Joined {
             name: member.place.name.clone(),
         });
@@ -295,17 +296,13 @@
         }
     }
 
-    fn take_summaries(
-        &mut self,
-        summaries: &[Summary],
-        is_local: bool,
-        known: &mut Message,
-    ) -> usize {
+    fn take_summaries(&mut self, message: &Message, is_local: bool, known: &mut Message) -> usize {
         let mut fresh = 0;
-        for summary in summaries {
+        let unknown = urgency_of_new(message.repair);
+        for summary in &message.summaries {
             if summary.data_centre == self.me.place.data_centre {
                 self.speaker.hear_own_summary(summary);
-            } else if let Some(urgency) = self.remote.take_summary(summary) {
+            } else if let Some(urgency) = self.remote.take_summary(summary, unknown) {
                 fresh += 1;
                 let subject = Subject::Summary(summary.key());
                 self.news.push(subject, urgency, self.live);
@@ -325,6 +322,11 @@
     }
 }
 
+/// Urgency of a record that was unknown; what a comparison of digests brought, others know.
+fn urgency_of_new(repair: bool) -> Urgency {
+    if repair { Urgency::Low } else { Urgency::High }
+}
+
 fn urgency_of(before: &Member, after: &Member) -> Urgency {
     let is_draining = |member: &Member| member.worker.as_ref().is_some_and(|ad| ad.draining);
     let is_high = before.status != after.status
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -45,6 +45,8 @@
     pub summaries: Vec<Summary>,
     /// Keys whose whole records the sender asks for.
     pub wants: Vec<u64>,
+    /// Whether the datagram follows from a comparison of digests, so that it is hardly news.
+    pub repair: bool,
 }
 
 /// Purpose of a datagram besides the news that it carries.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -355,6 +355,7 @@
             beats: Vec::new(),
             summaries: Vec::new(),
             wants: Vec::new(),
+            repair: false,
         }
     }
 
--- a/src/fleet/summary.rs
+++ b/src/fleet/summary.rs
@@ -205,10 +205,11 @@
         true
     }
 
-    /// Takes over a summary if it is newer. Tells how urgent the news are, if it was.
-    pub(super) fn take_summary(&mut self, summary: &Summary) -> Option<Urgency> {
+    /// Takes over a summary if it is newer. Tells how urgent that is, if it was: `unknown` for one
+    /// that was not known at all.
+    pub(super) fn take_summary(&mut self, summary: &Summary, unknown: Urgency) -> Option<Urgency> {
         let key = summary.key();
-        let mut urgency = Urgency::High;
+        let mut urgency = unknown;
         match self.offers.get_mut(&key) {
             Some(held) if held.version >= summary.version => return None,
             Some(held) => {
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -197,7 +197,7 @@
         if digest.entries.len() < MAX_ENTRIES {
             self.add_missing(digest, is_local, &message.data_centre, &mut newer);
         }
-        self.send_records(&newer, message.from, out);
+        self.send_records(&newer, message.from, true, out);
     }
 
     fn held_order(&self, key: u64, is_local: bool) -> Option<u64> {
@@ -247,18 +247,25 @@
     }
 
     /// Sends the whole records that another daemon asks for.
-    pub(super) fn answer_wants(&mut self, wants: &[u64], to: SocketAddr, out: &mut Vec<Send>) {
+    pub(super) fn answer_wants(
+        &mut self,
+        wants: &[u64],
+        to: SocketAddr,
+        repair: bool,
+        out: &mut Vec<Send>,
+    ) {
         let wants = &wants[..wants.len().min(MAX_ENTRIES)];
-        self.send_records(wants, to, out);
+        self.send_records(wants, to, repair, out);
     }
 
-    fn send_records(&mut self, keys: &[u64], to: SocketAddr, out: &mut Vec<Send>) {
+    fn send_records(&mut self, keys: &[u64], to: SocketAddr, repair: bool, out: &mut Vec<Send>) {
         let mut keys = keys.iter().copied().peekable();
         for _ in 0..MAX_ANSWERS {
             if keys.peek().is_none() {
                 return;
             }
             let mut message = self.message(Body::News);
+            message.repair = repair;
             let mut bytes = cost(&message);
             while let Some(key) = keys.peek().copied() {
                 let subject = if self.by_generation(key).is_some() {
--- a/src/fleet_capnp.rs
+++ b/src/fleet_capnp.rs
@@ -138,6 +138,10 @@
         pub fn has_wants(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_repair(self) -> bool {
+            self.reader.get_bool_field(80)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -338,6 +342,14 @@
         pub fn has_wants(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_repair(self) -> bool {
+            self.builder.get_bool_field(80)
+        }
+        #[inline]
+        pub fn set_repair(&mut self, value: bool)  {
+            self.builder.set_bool_field(80, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -355,7 +367,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 183] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 198] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(11, 42, 123, 51, 11, 110, 79, 240),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -365,84 +377,91 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 97, 116, 97),
             ::capnp::word(103, 114, 97, 109, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 23, 136, 157, 59, 169, 134, 254),
-            ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 80, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 236, 3, 180, 222, 189, 28, 243),
@@ -539,6 +558,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 97, 105, 114, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -552,6 +579,7 @@
                 7 => <::capnp::struct_list::Owned<crate::fleet_capnp::beat::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::fleet_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -565,9 +593,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,2,0,1,6,5,3,8,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,2,0,1,6,5,3,10,8,9];
         pub(crate) const TYPE_ID: u64 = 0xf04f_6e0b_337b_2a0b;
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -51,6 +51,7 @@
         beats: Vec::new(),
         summaries: Vec::new(),
         wants: Vec::new(),
+        repair: false,
     }
 }
 
--- a/tests/fleet_route.rs
+++ b/tests/fleet_route.rs
@@ -283,6 +283,7 @@
         beats: Vec::new(),
         summaries: Vec::new(),
         wants: Vec::new(),
+        repair: false,
     };
     let mut wrong = graz.clone();
     wrong.workers.clear();
