--- a/examples/fleet_slopes.rs
+++ b/examples/fleet_slopes.rs
@@ -14,16 +14,19 @@
             FleetRules,
             member::{Generation, Status},
             message::{Body, Message},
+            route::{Ask, RouteRules, Router},
             summary::Summary,
         },
         place::Region,
+        request::{Importance, Rank},
     },
     smol_str::{SmolStr, format_smolstr},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Instant},
 };
 
 const SECOND_US: u64 = 1_000_000;
 const TRIALS: usize = 15;
+const PICKS: u32 = 200_000;
 const SERVICES: usize = 160;
 const CENTRES: [(&str, &str); 10] = [
     ("a1", "a"),
@@ -59,6 +62,11 @@
     if only.is_none_or(|only| only == "summaries") {
         print_summaries();
     }
+    if only.is_none_or(|only| only == "picks") {
+        for services in [1, 10, 50] {
+            print_picks(services);
+        }
+    }
     if only.is_none_or(|only| only == "centres") {
         let members = args.get(2).and_then(|members| members.parse().ok());
         print_centres(members.unwrap_or(16));
@@ -218,6 +226,30 @@
     println!("  and sends {more} B in the 30 s after that");
 }
 
+/// Time of one pick among three workers, in a fleet of this many services.
+fn print_picks(services: usize) {
+    let mut net = Net::new(17, FleetRules::default());
+    for number in 0..services * 3 {
+        net.add("a1", "a", &format_smolstr!("service-{}", number % services));
+    }
+    net.run(20 * SECOND_US);
+    let mut router = Router::new(RouteRules::default());
+    let ask = Ask {
+        service: "service-0",
+        rank: Rank::from_parts(Importance(1), 0),
+        excluded: &[],
+        time_left_us: SECOND_US,
+        transfer_bytes: 1_000,
+    };
+    let start = Instant::now();
+    for _ in 0..PICKS {
+        let choice = router.pick(&net.nodes[0].fleet, &ask, net.now_us, &mut net.rng);
+        assert!(choice.is_some());
+    }
+    let ns = start.elapsed().as_nanos() / u128::from(PICKS);
+    println!("{services} services: {ns} ns a pick");
+}
+
 /// Time until a drain in the first data centre is known in all others.
 fn print_remote_times(net: &mut Net, members: usize) {
     let mut times = Vec::new();
