Tell the data centre of a death at once

Ruled out: holding back the answers to killed requests, which callers must get at once. Conclusion: kept, as the direct message costs one datagram per five blamed requests and member.

--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Fleet, MAX_SUSPECTS_BYTES, Peer, level_differs,
+        Fleet, MAX_HEARD, MAX_SUSPECTS_BYTES, Peer, level_differs,
         member::{Generation, Light, Member, MemberKey, Status},
         message::{Body, Message, Send},
         news::{Subject, Urgency},
@@ -125,6 +125,7 @@
         if member.suspects.len() > MAX_SUSPECTS_BYTES {
             return false;
         }
+        self.hear_suspects(member);
         let Some(key) = self.by_name.get(&member.place.name).copied() else {
             return self.insert(member, repair, now_us);
         };
@@ -147,6 +148,16 @@
         false
     }
 
+    /// Keeps a digest for whoever merges it; digests may be taken in any order.
+    fn hear_suspects(&mut self, member: &Member) {
+        let key = self.by_name.get(&member.place.name);
+        let known = key.and_then(|key| self.peers.get(*key));
+        let is_known = known.is_some_and(|peer| peer.member.suspects == member.suspects);
+        if !is_known && !member.suspects.is_empty() && self.heard_suspects.len() < MAX_HEARD {
+            self.heard_suspects.push(member.suspects.clone());
+        }
+    }
+
     fn take_light(&mut self, light: &Light, now_us: u64, wants: &mut Vec<u64>) {
         let Some(key) = self.by_generation.get(&light.generation.0).copied() else {
             if light.status.is_live() {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -47,6 +47,9 @@
 /// Largest digest of suspects that a member may announce.
 pub const MAX_SUSPECTS_BYTES: usize = 256;
 
+/// Digests of suspects that wait to be taken; what comes beyond is heard again later.
+const MAX_HEARD: usize = 1_024;
+
 /// Times and limits of membership.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetRules {
@@ -135,6 +138,7 @@
     seeds: Vec<SocketAddr>,
     counters: Counters,
     events: Vec<Event>,
+    heard_suspects: Vec<Vec<u8>>,
     rng: ChaCha8Rng,
 }
 
@@ -169,6 +173,7 @@
             seeds: Vec::new(),
             counters: Counters::default(),
             events: Vec::new(),
+            heard_suspects: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         fleet.announce_body();
@@ -223,6 +228,23 @@
         }
     }
 
+    /// Announces a digest of suspect requests to every live member at once.
+    pub fn tell_suspects(&mut self, suspects: Vec<u8>, out: &mut Vec<Send>) {
+        self.set_suspects(suspects);
+        let live = self.peers.values().filter(|peer| peer.member.status.is_live());
+        let addrs: Vec<_> = live.map(|peer| peer.member.place.gossip_addr).collect();
+        for to in addrs {
+            let mut message = self.message(Body::News);
+            message.members.push(self.me.clone());
+            self.send(to, message, out);
+        }
+    }
+
+    /// Takes the digests of suspects heard since the last call.
+    pub fn take_suspects(&mut self) -> Vec<Vec<u8>> {
+        std::mem::take(&mut self.heard_suspects)
+    }
+
     /// Tells everybody that this daemon leaves.
     pub fn leave(&mut self, now_us: u64, out: &mut Vec<Send>) {
         self.me.status = Status::Left;
--- a/src/fleet/udp.rs
+++ b/src/fleet/udp.rs
@@ -126,6 +126,13 @@
         self.send_all(out).await;
     }
 
+    /// Announces a digest of suspect requests to every live member at once.
+    pub async fn tell_suspects(&self, suspects: Vec<u8>) {
+        let mut out = Vec::new();
+        self.fleet.lock().tell_suspects(suspects, &mut out);
+        self.send_all(out).await;
+    }
+
     /// Totals of the socket.
     pub fn totals(&self) -> GossipTotals {
         let of = |total: &AtomicU64| total.load(Ordering::Relaxed);
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -163,6 +163,13 @@
     pub dropped: u64,
 }
 
+impl SuspectReport {
+    /// Marks set here so far.
+    pub fn changes(&self) -> u64 {
+        self.blamed + self.cleared + self.lifted
+    }
+}
+
 /// What one daemon knows of deaths in its data centre.
 #[derive(Debug)]
 pub struct Suspects {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -25,7 +25,7 @@
 };
 
 /// Interval at which the fleet is told of the local worker.
-const PUBLISH_MS: u64 = 50;
+const PUBLISH_MS: u64 = 20;
 
 /// Interval at which newer configurations are looked for at other daemons.
 const CONFIG_MS: u64 = 250;
@@ -33,7 +33,7 @@
 /// Suspects in one digest.
 const DIGEST_DEATHS: usize = 5;
 
-/// Interval at which suspects are gossiped again, and taken from others.
+/// Interval at which suspects are told again.
 const SUSPECTS_MS: u64 = 500;
 
 /// The fleet, as configuration control sees it.
@@ -76,17 +76,24 @@
 }
 
 /// Tells the fleet of the local worker, and takes what the fleet knows.
-pub async fn publish(node: Arc<Node>, fleet: Arc<Mutex<Fleet>>) -> Result<(), TaskError> {
+pub async fn publish(
+    node: Arc<Node>,
+    fleet: Arc<Mutex<Fleet>>,
+    gossip: Gossip,
+) -> Result<(), TaskError> {
     let mut published = Published::default();
     loop {
         Timer::after(Duration::from_millis(PUBLISH_MS)).await;
         let config = node.config();
         if config.revision != published.revision {
+            node.adopt(&config, published.revision);
             published.revision = config.revision;
-            node.adopt(&config);
         }
         node.publish_worker(&fleet, published.revision);
-        node.exchange_suspects(&fleet, &mut published);
+        node.merge_suspects(&fleet);
+        for digest in node.due_digests(&mut published) {
+            gossip.tell_suspects(digest).await;
+        }
     }
 }
 
@@ -142,11 +149,13 @@
 
 impl Node {
     /// Puts a configuration to work that has come into force.
-    fn adopt(&self, config: &Config) {
+    fn adopt(&self, config: &Config, earlier: Revision) {
         let rules = local_rules(&self.settings, config);
         let mut local = self.local.lock();
         local.gate.set_rules(rules.gate);
-        for text in config.lifted.keys() {
+        // An older release from quarantine does not cover later deaths.
+        let lifted = config.lifted.iter().filter(|(_, revision)| **revision > earlier);
+        for (text, _) in lifted {
             if let Ok(fingerprint) = Fingerprint::try_from(text.as_str()) {
                 local.suspects.lift(fingerprint);
             }
@@ -184,35 +193,32 @@
         fleet.set_revision(revision);
     }
 
-    /// Spreads what is new of suspects at once, and all of it in turn.
-    fn exchange_suspects(&self, fleet: &Mutex<Fleet>, published: &mut Published) {
-        let now = self.now();
-        let report = self.local.lock().suspects.report();
-        let is_due = now.us.saturating_sub(published.suspects_us) >= SUSPECTS_MS * 1_000;
+    /// Digests of suspects to tell: what is new at once, and all of it in turn.
+    fn due_digests(&self, published: &mut Published) -> Vec<Vec<u8>> {
+        let now_us = self.clock.now_us();
+        let mut local = self.local.lock();
+        let report = local.suspects.report();
+        let changes = report.changes().saturating_sub(published.suspects.changes()) as usize;
+        let is_due = now_us.saturating_sub(published.suspects_us) >= SUSPECTS_MS * 1_000;
+        let turns = usize::from(is_due && report.entries > 0);
+        published.suspects = report;
         if is_due {
-            published.suspects_us = now.us;
-            self.merge_suspects(fleet, now.unix_ms);
-        }
-        let is_new = report != published.suspects;
-        if !is_new && (!is_due || report.entries == 0) {
-            return;
+            published.suspects_us = now_us;
         }
-        published.suspects = report;
-        let digest = self.local.lock().suspects.digest(DIGEST_DEATHS);
-        let bytes = postcard::to_stdvec(&digest).unwrap_or_default();
-        fleet.lock().set_suspects(bytes);
+        let digests = changes.div_ceil(DIGEST_DEATHS).max(turns);
+        (0..digests)
+            .map(|_| local.suspects.digest(DIGEST_DEATHS))
+            .filter_map(|deaths| postcard::to_stdvec(&deaths).ok())
+            .collect()
     }
 
-    fn merge_suspects(&self, fleet: &Mutex<Fleet>, now_unix_ms: u64) {
-        let deaths: Vec<Death> = fleet
-            .lock()
-            .members()
-            .filter(|member| !member.suspects.is_empty())
-            .filter_map(|member| postcard::from_bytes::<Vec<Death>>(&member.suspects).ok())
-            .flatten()
-            .collect();
+    fn merge_suspects(&self, fleet: &Mutex<Fleet>) {
+        let heard = fleet.lock().take_suspects();
+        if heard.is_empty() {
+            return;
+        }
+        let deaths = heard.iter().filter_map(|bytes| postcard::from_bytes::<Vec<Death>>(bytes).ok());
         let mut local = self.local.lock();
-        local.suspects.merge(deaths);
-        local.suspects.sweep(now_unix_ms);
+        local.suspects.merge(deaths.flatten());
     }
 }
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -113,10 +113,11 @@
         Arc::clone(&tasks.fleet),
         tasks.gossip.clone(),
     );
-    branch.add("gossip", move || sync::gossip(gossip.clone()));
+    let socket = gossip.clone();
+    branch.add("gossip", move || sync::gossip(socket.clone()));
     let (publisher, view) = (Arc::clone(&node), Arc::clone(&fleet));
     branch.add("publish", move || {
-        sync::publish(Arc::clone(&publisher), Arc::clone(&view))
+        sync::publish(Arc::clone(&publisher), Arc::clone(&view), gossip.clone())
     });
     let (follower, view) = (Arc::clone(&node), Arc::clone(&fleet));
     branch.add("follow", move || {
@@ -160,12 +161,9 @@
         tasks.directory.sweep(now.us);
         tasks.node.edge_paths.lock().expire(now.us);
         tasks.node.nested_paths.lock().expire(now.us);
-        tasks
-            .node
-            .local
-            .lock()
-            .once
-            .sweep(now.unix_ms, SWEEP_RECORDS);
+        let mut local = tasks.node.local.lock();
+        local.once.sweep(now.unix_ms, SWEEP_RECORDS);
+        local.suspects.sweep(now.unix_ms);
     }
 }
 
