--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -146,7 +146,7 @@
         self.binding += u32::from(sample.binding);
         if sample.done {
             self.done += 1;
-            self.sum_us += (now_us - sample.started_us) as f64;
+            self.sum_us += now_us.saturating_sub(sample.started_us) as f64;
         } else {
             self.failed += 1;
         }
@@ -268,7 +268,7 @@
     /// Takes the end of one piece of work.
     pub fn finished(&mut self, sample: Sample, now_us: u64) {
         if sample.done {
-            self.latency.add(now_us - sample.started_us);
+            self.latency.add(now_us.saturating_sub(sample.started_us));
         }
         self.epoch.add(sample, now_us);
         if self.cold.is_some() {
@@ -277,7 +277,7 @@
         }
         if self.epoch.samples() >= self.epoch_samples() {
             self.close_epoch(now_us);
-        } else if now_us - self.epoch.opened_us > EPOCH_MAX_US {
+        } else if now_us.saturating_sub(self.epoch.opened_us) > EPOCH_MAX_US {
             self.rest(self.wait, now_us);
         }
     }
