--- a/src/policy/shed.rs
+++ b/src/policy/shed.rs
@@ -272,7 +272,7 @@
             return Level::OPEN;
         }
         let level = self.fitting(load, queued);
-        level.max(Level(self.floor()))
+        level.max(Level(self.floor())).max(waiting(queued))
     }
 
     /// Highest level whose estimated arrivals fit the budget of each class below it.
@@ -323,3 +323,10 @@
         u32::from(Rank::from_parts(top, 0).position()) + PROBE_BUCKETS
     }
 }
+
+/// Level that admits all classes more important than the least important waiting work.
+fn waiting(queued: &Queued) -> Level {
+    let least = queued.last_key_value();
+    let least = least.map_or(Importance(0), |(importance, _)| *importance);
+    Level(u32::from(Rank::from_parts(least, 0).position()))
+}
