Serve nothing before a configuration is known, and what is announced if none can be

Cause: a daemon that had just started answered unknown-service for everything until it had read the configuration, and for good where the store was away and it had no peer. Change: until the view is settled requests are refused not-run with advice to come back; with no configuration heard of, announced services are served under the defaults. Conclusion: a data centre that starts cut off serves its own workers.

--- a/src/control/enforced.rs
+++ b/src/control/enforced.rs
@@ -80,6 +80,11 @@
         self.settled || now_us >= self.settle_by_us
     }
 
+    /// Whether the configuration in force is one that was heard of, not just the built-in one.
+    pub fn is_heard(&self) -> bool {
+        self.settled
+    }
+
     /// Configuration in force.
     pub fn config(&self) -> &Arc<Config> {
         &self.config
@@ -146,6 +151,11 @@
         self.enforced.lock().clone()
     }
 
+    /// See [`Enforced::is_heard`].
+    pub fn is_heard(&self) -> bool {
+        self.enforced.lock().is_heard()
+    }
+
     /// See [`Enforced::is_settled`].
     pub fn is_settled(&self) -> bool {
         self.enforced.lock().is_settled(self.clock.now_us())
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,6 +17,9 @@
 /// Most hops from the caller; a longer way is a loop.
 const MAX_DEPTH: u8 = 64;
 
+/// Advice to a caller of a daemon that has no configuration yet.
+const SETTLE_RETRY_AFTER_MS: u32 = 500;
+
 /// Resends of one caller, as a share of its first requests.
 const RESEND_RATIO_PERCENT: u8 = 100;
 
@@ -77,6 +80,10 @@
 impl Node {
     /// Checks a request and opens its account.
     pub fn enter(&self, incoming: Incoming, now_us: u64) -> Result<Outgoing, Refusal> {
+        if !self.live.is_settled() {
+            let refusal = Refusal::not_run(Reason::StoreUnavailable);
+            return Err(refusal.retry_after_ms(SETTLE_RETRY_AFTER_MS));
+        }
         let config = self.config();
         let service_rule = self.service_rule(&config, &incoming.service)?;
         match incoming.origin.clone() {
@@ -87,11 +94,15 @@
 
     /// Rule of a service that is configured, or that may be served as it has announced itself.
     fn service_rule(&self, config: &Config, service: &str) -> Result<ServiceRule, Refusal> {
-        let is_listed = config.services.contains_key(service);
-        let rule = config
-            .service(service)
-            .filter(|_| is_listed || self.directory.knows(service));
-        rule.ok_or(Refusal::not_run(Reason::UnknownService))
+        if let Some(rule) = config.services.get(service) {
+            return Ok(rule.clone());
+        }
+        // A data centre that starts cut off from the store serves what has announced itself.
+        let may_be_unlisted = config.rules.unlisted_services || !self.live.is_heard();
+        if may_be_unlisted && self.directory.knows(service) {
+            return Ok(ServiceRule::default());
+        }
+        Err(Refusal::not_run(Reason::UnknownService))
     }
 
     fn enter_nested(
