--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -17,6 +17,8 @@
 const SLICE_MS: u64 = 100;
 /// Share of the goodput before the trigger that counts as recovered.
 const RECOVERED_PERCENT: u64 = 95;
+/// Delay of an arrival beyond which the machine counts as starved.
+const STARVED_US: u64 = 100_000;
 /// Slices in a row that have to be recovered.
 const SUSTAINED_SLICES: usize = 5;
 
@@ -162,6 +164,12 @@
             "  arrivals late by  {:.1} ms at most",
             self.arrivals_latest_us as f64 / 1_000.0
         )?;
+        if self.arrivals_latest_us > STARVED_US {
+            writeln!(
+                text,
+                "  STARVED: the machine did not give the lab its time; these figures do not count"
+            )?;
+        }
         for refusals in &self.refusals {
             writeln!(text, "  {refusals}")?;
         }
