--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,3 +13,4 @@
 pub mod suspect;
 pub mod ticket;
 pub mod verdict;
+pub mod work;
