--- a/lab/src/round/fault.rs
+++ b/lab/src/round/fault.rs
@@ -27,20 +27,20 @@
 /// Statement of an operator with its answer.
 pub(super) struct Asked {
     statement: SmolStr,
-    asked_us: u64,
+    sent_us: u64,
     answered_us: u64,
     answer: Result<SmolStr, SmolStr>,
 }
 
 impl Asked {
     fn note(&self) -> FaultNote {
-        let took_ms = self.answered_us.saturating_sub(self.asked_us) / 1_000;
+        let took_ms = self.answered_us.saturating_sub(self.sent_us) / 1_000;
         let (how, text) = match &self.answer {
             Ok(text) => ("", text),
             Err(text) => ("refused, ", text),
         };
         FaultNote {
-            at_us: self.asked_us,
+            at_us: self.sent_us,
             text: format_smolstr!("'{}': {how}{text} ({took_ms} ms)", self.statement),
         }
     }
@@ -55,7 +55,7 @@
         }
         Some(Departure {
             worker: words.next()?.into(),
-            at_us: self.asked_us,
+            at_us: self.sent_us,
         })
     }
 }
@@ -192,12 +192,12 @@
     fn ask(&mut self, statement: &SmolStr) {
         let answer = self.hosts[0].ask(statement);
         let statement = statement.clone();
-        let asked_us = unix_us();
+        let sent_us = unix_us();
         self.asked.push(task::spawn(async move {
             let answer = answer.await;
             Asked {
                 statement,
-                asked_us,
+                sent_us,
                 answered_us: unix_us(),
                 answer,
             }
