--- a/lab/src/judge/outcome.rs
+++ b/lab/src/judge/outcome.rs
@@ -4,7 +4,7 @@
     crate::{
         history::{History, Run},
         judge::{Finding, example},
-        record::{End, RequestRecord, Verdict},
+        record::{End, RequestRecord, Send, Verdict},
     },
     smol_str::format_smolstr,
 };
@@ -39,7 +39,13 @@
                 let next_us = next_send_us(request, position);
                 let ran = roots.iter().any(|run| run.start.at_us < next_us);
                 finding.check(!ran, || {
-                    let detail = format_smolstr!("send {} was told not-run", position + 1);
+                    let detail = format_smolstr!(
+                        "{}, send {} was told not-run ({}), runs began {} us after its send",
+                        request.class,
+                        position + 1,
+                        verdicts(request),
+                        begins_us(&roots, send),
+                    );
                     example(&request.request, &detail)
                 });
             }
@@ -126,6 +132,25 @@
     finding
 }
 
+/// What came back for each send, in order.
+fn verdicts(request: &RequestRecord) -> String {
+    let verdicts: Vec<_> = request
+        .sends
+        .iter()
+        .map(|send| send.verdict.to_string())
+        .collect();
+    verdicts.join(", ")
+}
+
+/// Begins of runs, counted from a send.
+fn begins_us(runs: &[&Run], send: &Send) -> String {
+    let begins: Vec<_> = runs
+        .iter()
+        .map(|run| (i128::from(run.start.at_us) - i128::from(send.sent_us)).to_string())
+        .collect();
+    begins.join(", ")
+}
+
 fn next_send_us(request: &RequestRecord, position: usize) -> u64 {
     request
         .sends
