--- a/lab/src/round/fault.rs
+++ b/lab/src/round/fault.rs
@@ -9,9 +9,10 @@
         round::{Round, host::Host},
         scenario::{Fault, FaultSpec, Target},
     },
+    async_std::task,
     serde::Serialize,
     smol_str::{SmolStr, ToSmolStr, format_smolstr},
-    std::{collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, mem, time::Duration},
 };
 
 /// Something worth telling that happened in a round.
@@ -23,6 +24,42 @@
     pub text: SmolStr,
 }
 
+/// Statement of an operator with its answer.
+pub(super) struct Asked {
+    statement: SmolStr,
+    sent_us: u64,
+    answered_us: u64,
+    answer: Result<SmolStr, SmolStr>,
+}
+
+impl Asked {
+    fn note(&self) -> FaultNote {
+        let took_ms = self.answered_us.saturating_sub(self.sent_us) / 1_000;
+        let (how, text) = match &self.answer {
+            Ok(text) => ("", text),
+            Err(text) => ("refused, ", text),
+        };
+        FaultNote {
+            at_us: self.sent_us,
+            text: format_smolstr!("'{}': {how}{text} ({took_ms} ms)", self.statement),
+        }
+    }
+
+    /// A drain or stop of a worker that was carried out.
+    fn departure(&self) -> Option<Departure> {
+        self.answer.as_ref().ok()?;
+        let mut words = self.statement.split_whitespace();
+        let is_order = matches!(words.next(), Some("drain" | "stop"));
+        if !is_order || words.next() != Some("worker") {
+            return None;
+        }
+        Some(Departure {
+            worker: words.next()?.into(),
+            at_us: self.sent_us,
+        })
+    }
+}
+
 /// Begin or end of a fault.
 #[derive(Debug, Clone)]
 pub(super) struct Action {
@@ -76,7 +113,7 @@
             }
             Fault::Poison(call) => self.callers.poison(call),
             Fault::Leave(worker) => self.leave(worker).await,
-            Fault::Ask(statement) => self.ask(statement).await,
+            Fault::Ask(statement) => self.ask(statement),
             Fault::StoreOutage => self.store_faults(Faults {
                 outage: begins,
                 ..Faults::default()
@@ -151,19 +188,28 @@
         });
     }
 
-    /// Gives a statement to the first daemon; a drain or stop of a worker counts as its departure.
-    async fn ask(&mut self, statement: &SmolStr) {
-        let asked_us = unix_us();
-        if let Err(detail) = self.hosts[0].ask(statement).await {
-            self.note(format_smolstr!("'{statement}' was refused: {detail}"));
-            return;
-        }
-        let words: Vec<_> = statement.split_whitespace().collect();
-        if let ["drain" | "stop", "worker", worker, ..] = words.as_slice() {
-            self.departures.push(Departure {
-                worker: worker.trim_end_matches(';').into(),
-                at_us: asked_us,
-            });
+    /// Gives a statement to the first daemon, without waiting for the answer.
+    fn ask(&mut self, statement: &SmolStr) {
+        let answer = self.hosts[0].ask(statement);
+        let statement = statement.clone();
+        let sent_us = unix_us();
+        self.asked.push(task::spawn(async move {
+            let answer = answer.await;
+            Asked {
+                statement,
+                sent_us,
+                answered_us: unix_us(),
+                answer,
+            }
+        }));
+    }
+
+    /// Notes the answers to all statements; an order to a worker counts as its departure.
+    pub(super) async fn gather_answers(&mut self) {
+        for asked in mem::take(&mut self.asked) {
+            let asked = asked.await;
+            self.notes.push(asked.note());
+            self.departures.extend(asked.departure());
         }
     }
 
