Share the link between regions among the daemons there are

Cause: each daemon let 50 kB/s of calls go to other regions whatever the fleet's size; in the lab's drain the only worker left stood in the other region, and callers were told no-worker for 7 s. Change: a setting gives the bytes of the whole region (3 MB/s, four fifths of the link); each daemon takes its share of the daemons known in the region; calls of the highest importance are not capped. Figures: at two daemons of a region 1.5 MB/s each in place of 50 kB/s; at 375, 8 kB/s. Conclusion: small fleets spill freely, the planned size keeps the link's budget.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -85,9 +85,12 @@
         self.router.lock().counters()
     }
 
-    /// Forgets workers without calls.
-    pub fn sweep(&self, now_us: u64) {
-        self.router.lock().sweep(now_us);
+    /// Forgets workers without calls, and takes this daemon's share of the link between regions.
+    pub fn sweep(&self, link_bytes_per_s: u64, now_us: u64) {
+        let sharers = self.fleet.lock().daemons_in_region() as u64;
+        let mut router = self.router.lock();
+        router.sweep(now_us);
+        router.set_spill(link_bytes_per_s / sharers);
     }
 }
 
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -208,6 +208,13 @@
         behind.map(|member| member.place.name.clone()).collect()
     }
 
+    /// Daemons of the own region, taking its data centres to be of equal size.
+    pub fn daemons_in_region(&self) -> usize {
+        let region = &self.me.place.region;
+        let others = self.remote.centres().values().filter(|centre| centre.region == *region);
+        self.live_members().max(1) * (1 + others.count())
+    }
+
     /// Dump of the view.
     pub fn report(&self, now_us: u64) -> Report {
         let members = self.peers.values().map(|peer| {
--- a/src/fleet/route.rs
+++ b/src/fleet/route.rs
@@ -8,7 +8,7 @@
     crate::{
         collections::HashMap,
         place::Place,
-        request::{Incarnation, Level, Rank},
+        request::{Importance, Incarnation, Level, Rank},
     },
     derive_more::Display,
     rand::Rng,
@@ -126,6 +126,9 @@
     pub over_deadline: u64,
 }
 
+/// Importance whose calls go to other regions whatever the volume.
+const UNCAPPED: Importance = Importance(0);
+
 /// Time after which the record of an idle worker is forgotten.
 const IDLE_US: u64 = 60_000_000;
 
@@ -196,6 +199,11 @@
         last
     }
 
+    /// Changes the bytes that may go to other regions.
+    pub fn set_spill(&mut self, spill_bytes_per_s: u64) {
+        self.rules.spill_bytes_per_s = spill_bytes_per_s;
+    }
+
     /// Notes that a call has been sent to a worker.
     pub fn started(&mut self, incarnation: Incarnation, now_us: u64) {
         let record = self.records.entry(incarnation).or_default();
@@ -283,11 +291,12 @@
         if far.is_empty() {
             return None;
         }
-        if self.spill_bytes < u64::from(ask.transfer_bytes) {
+        let is_capped = ask.rank.importance() > UNCAPPED;
+        if is_capped && self.spill_bytes < u64::from(ask.transfer_bytes) {
             self.counters.over_cap += 1;
             return None;
         }
-        self.spill_bytes -= u64::from(ask.transfer_bytes);
+        self.spill_bytes = self.spill_bytes.saturating_sub(u64::from(ask.transfer_bytes));
         self.choose(&far, Locality::World, rng)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,6 +44,7 @@
             "order-records",
             "answer-memory-bytes",
             "store-calls-per-minute",
+            "region-link-bytes-per-s",
         ],
     ),
     ("operators", &["token", "token-env"]),
@@ -130,6 +131,8 @@
     pub order_records: usize,
     /// Memory for answers kept for resends.
     pub answer_memory_bytes: usize,
+    /// Bytes that all daemons of the region may send to other regions each second.
+    pub region_link_bytes_per_s: u64,
     /// Store calls that this daemon may make in a minute to bind callers' own keys.
     pub store_calls_per_min: u32,
 }
@@ -348,6 +351,7 @@
             max_deadline_ms: self.number("max-deadline-ms", 60_000, 1..=3_600_000),
             order_records: self.number("order-records", 100_000, 1..=10_000_000) as usize,
             answer_memory_bytes: self.number("answer-memory-bytes", 32 << 20, 0..=1 << 32) as usize,
+            region_link_bytes_per_s: self.number("region-link-bytes-per-s", 3_000_000, 0..=1 << 40),
             store_calls_per_min: self.number("store-calls-per-minute", 24, 0..=60_000) as u32,
         }
     }
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -158,7 +158,8 @@
     loop {
         Timer::after(Duration::from_millis(SWEEP_MS)).await;
         let now = tasks.node.now();
-        tasks.directory.sweep(now.us);
+        let link_bytes_per_s = tasks.node.settings.limits.region_link_bytes_per_s;
+        tasks.directory.sweep(link_bytes_per_s, now.us);
         tasks.node.edge_paths.lock().expire(now.us);
         tasks.node.nested_paths.lock().expire(now.us);
         let mut local = tasks.node.local.lock();
