Count resends against the allowance, doubt not-run after a resend, shed reads before orders at an ingress

Change: (1) half of the allowance, rounded down, is set aside for the caller's resends; each carries no retries of its own, more are refused. (2) Unless the caller says that no earlier send may have run, or the gate knows, a refusal is told as unknown; lab's callers count only sends that may have run.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -111,7 +111,7 @@
                 self.ticket_failed = true;
                 return;
             }
-            let pause = self.send(attempt).await;
+            let pause = self.send().await;
             if !self.may_resend() {
                 return;
             }
@@ -127,12 +127,12 @@
     }
 
     /// Sends once, records it, and returns the daemon's advice on when to come back.
-    async fn send(&mut self, attempt: u32) -> Option<Duration> {
-        let daemon = self.daemon(attempt as usize - 1);
+    async fn send(&mut self) -> Option<Duration> {
+        let daemon = self.daemon(self.sends.len());
         let client = &self.clients[daemon];
         let sent_us = unix_us();
         let answer = client
-            .send_within(self.request(client, attempt), self.wait())
+            .send_within(self.request(client, self.attempt()), self.wait())
             .await;
         let verdict = self.judge(answer.as_ref());
         let whole = answer.as_ref().and_then(|answer| answer.as_ref().ok());
@@ -150,6 +150,14 @@
         whole.and_then(advice)
     }
 
+    /// Number of this send, counting those before it that may have run.
+    fn attempt(&self) -> u32 {
+        let is_not_run = |send: &Send| send.verdict == Verdict::NotRun;
+        let doubtful = self.sends.iter().rev().take_while(|send| !is_not_run(send));
+        let doubtful = doubtful.filter(|send| send.verdict != Verdict::Unreached);
+        1 + doubtful.count() as u32
+    }
+
     fn request(&self, client: &Client, attempt: u32) -> Request {
         let mut request = client.request(Method::Post, &format!("/{}", self.errand.call));
         request.insert_header(REQUEST_ID, self.id.as_str());
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -152,6 +152,7 @@
         config: &Config,
         now_us: u64,
     ) -> Result<Outgoing, Refusal> {
+        let is_first = incoming.is_first();
         let fingerprint = incoming.fingerprint();
         let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
         let rule = config.class(&class);
@@ -180,7 +181,8 @@
                 .has_own_id
                 .then(|| incoming.request_id.to_string().into())
         });
-        let account = self.local.lock().accounts.open(rule.retry_allowance);
+        let tokens = self.tokens(rule.retry_allowance, idempotent, incoming.attempt)?;
+        let account = self.local.lock().accounts.open(tokens);
         Ok(Outgoing {
             request_id: incoming.request_id,
             service: incoming.service,
@@ -192,7 +194,7 @@
             depth: 0,
             account,
             parent: None,
-            first_attempt: incoming.attempt == 1,
+            first_attempt: is_first,
             ticket,
             key,
             is_resend: incoming.attempt > 1,
@@ -202,6 +204,26 @@
         })
     }
 
+    /// Retries for one send of a request.
+    ///
+    /// A part of the allowance is set aside for the caller's own resends, so that all sends and
+    /// retries together stay within it, whichever daemons they come to.
+    fn tokens(&self, allowance: u8, idempotent: bool, attempt: u32) -> Result<u8, Refusal> {
+        if !idempotent || self.is_baseline() {
+            return Ok(allowance);
+        }
+        let set_aside = allowance / 2;
+        let resends = attempt.saturating_sub(1);
+        if resends == 0 {
+            return Ok(allowance - set_aside);
+        }
+        if resends > u32::from(set_aside) {
+            let refusal = Refusal::unknown(Reason::RetriesSpent);
+            return Err(refusal.retry_after_ms(RESEND_RETRY_AFTER_MS));
+        }
+        Ok(0)
+    }
+
     /// Counts a caller's send and holds back one that resends too much.
     fn count_send(&self, caller: IpAddr, attempt: u32, now_us: u64) -> Result<(), Refusal> {
         if self.is_baseline() {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -33,12 +33,13 @@
     tried: Vec<Incarnation>,
     moves: u8,
     may_have_run: bool,
+    is_final: bool,
 }
 
 impl Node {
     /// Sends a checked request and answers with the whole answer or why there is none.
     pub async fn forward(self: &Arc<Self>, out: &Outgoing) -> Result<Arc<Answer>, Refusal> {
-        let mut trail = Trail::default();
+        let mut trail = Trail { may_have_run: !out.first_attempt, ..Trail::default() };
         loop {
             let refusal = match self.attempt(out, &mut trail).await {
                 Ok(answer) => return Ok(answer),
@@ -231,6 +232,7 @@
             (Outcome::NotRun, false) => Denial::NotNow(refusal.reason),
             _ => Denial::Maybe(refusal.reason),
         };
+        trail.is_final = matches!(denial, Denial::Never(_));
         Err(judge(out, Heard::Denial(denial), refusal.retry_after_ms))
     }
 
@@ -255,7 +257,6 @@
             Reason::Unreachable
         };
         if out.needs_ticket() {
-            trail.may_have_run |= !out.first_attempt;
             return judge(out, Heard::Nothing(reason), None);
         }
         let outcome = if error.may_have_run {
@@ -333,7 +334,7 @@
 impl Trail {
     /// What the sender is told, in view of all sends.
     fn conclude(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
+        if self.may_have_run && !self.is_final {
             return Refusal {
                 outcome: Outcome::Unknown,
                 ..refusal
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -80,6 +80,12 @@
 }
 
 impl Incoming {
+    /// Tells whether no earlier send of the request may have run, as far as the caller says.
+    pub fn is_first(&self) -> bool {
+        let is_nameless = !self.has_own_id && self.key.is_none() && self.ticket.is_none();
+        self.attempt == 1 || (self.attempt == 0 && is_nameless)
+    }
+
     /// Hash of what the backend server is to run.
     pub fn fingerprint(&self) -> Fingerprint {
         let Request {
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,18 +9,20 @@
         config::Config,
         control::enforced::Live,
         directory::Directory,
+        entry::Outgoing,
         ingress::{Handle, Incoming, Origin},
         local::{Local, LocalRules, Now},
         metrics::Metrics,
         policy::{
             bind::{BindLimits, Binder},
+            floor::Floor,
             once::OnceLimits,
             paths::PathLevels,
             retry::{AccountKey, CallerRatio, RetryRatio},
             shed::GateRules,
             suspect::SuspectLimits,
         },
-        request::{Refusal, RequestId, ServiceName},
+        request::{Reason, Refusal, RequestId, ServiceName},
         settings::{PolicyKind, Settings},
         store::Store,
         trace::{Event, Traces},
@@ -60,6 +62,8 @@
     pub edge_paths: Mutex<PathLevels>,
     /// Levels that the local worker's nested calls have met.
     pub nested_paths: Mutex<PathLevels>,
+    /// Order among classes across services.
+    pub floor: Mutex<Floor>,
     /// Resends of callers.
     pub callers: Mutex<CallerRatio>,
     /// Retries to each service.
@@ -117,6 +121,7 @@
             live: parts.live,
             edge_paths: Mutex::default(),
             nested_paths: Mutex::default(),
+            floor: Mutex::default(),
             ratios: Mutex::default(),
             binder,
             traces: Mutex::default(),
@@ -193,15 +198,46 @@
 impl Node {
     async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
         let _relay = Relay::enter(self)?;
-        let mut out = self.enter(incoming, self.clock.now_us())?;
+        let is_first = incoming.is_first();
+        let entered = self.enter(incoming, self.clock.now_us());
+        let mut out = entered.map_err(|refusal| refusal.doubt(!is_first))?;
         let _account = out.parent.is_none().then(|| Opened {
             node: self,
             account: out.account,
         });
         if out.needs_ticket() && !self.is_baseline() {
-            self.bind(&mut out).await?;
+            let bound = self.bind(&mut out).await;
+            bound.map_err(|refusal| refusal.doubt(!is_first))?;
+        }
+        if out.parent.is_some() || self.is_baseline() {
+            return self.forward(&out).await;
+        }
+        self.check_floor(&out)?;
+        let result = self.forward(&out).await;
+        self.note_floor(&out, &result);
+        result
+    }
+
+    /// Refuses a request while more important ones are being refused here.
+    fn check_floor(&self, out: &Outgoing) -> Result<(), Refusal> {
+        let now_us = self.clock.now_us();
+        let floor = self.floor.lock();
+        if floor.admits(out.importance, now_us) {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(Reason::Overload).doubt(!out.first_attempt);
+        Err(refusal.retry_after_ms(floor.retry_after_ms(now_us)))
+    }
+
+    /// Orders that are shed keep less important requests out, to whatever service.
+    fn note_floor(&self, out: &Outgoing, result: &Result<Arc<Answer>, Refusal>) {
+        let Err(refusal) = result else {
+            return;
+        };
+        let is_shed = matches!(refusal.reason, Reason::Overload | Reason::WorkerFull);
+        if is_shed && !out.idempotent {
+            self.floor.lock().refused(out.importance, self.clock.now_us());
         }
-        self.forward(&out).await
     }
 
     /// Records what happened to a request.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod alone;
 pub mod bind;
 pub mod drain;
+pub mod floor;
 pub mod gate;
 pub mod limit;
 pub mod once;
--- a/src/request.rs
+++ b/src/request.rs
@@ -273,6 +273,15 @@
         }
     }
 
+    /// The same refusal of a request that, in case of doubt, an earlier send may have run.
+    #[must_use]
+    pub fn doubt(mut self, may_have_run: bool) -> Self {
+        if may_have_run {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// Adds advice on when to come back.
     #[must_use]
     pub fn retry_after_ms(mut self, retry_after_ms: u32) -> Self {
