Refuse unclear, stalled and cut HTTP messages with a typed answer

Cause: the HTTP parser reads ahead into a buffer that it drops after each message, so requests sent ahead were lost and surplus bytes of an answer could be taken for the next one. It closes on bytes that it cannot parse, reads a body of an unknown coding as none, takes an interim answer for the answer, and makes up a Date header with a line end in it.

Change: the parser sees one message at a time; unclear lengths, interim answers and unknown codings are refused; refusals carry outcome, reason and identity, also for bytes that are no request, for stalled heads and for connections over the limit; a panic of the handler is answered; a caller that takes no answer is let go after the read timeout.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,31 +1,23 @@
 //! The backend server, as the daemon on its VM sees it.
 
 use {
-    crate::call::{Answer, Header, Request},
+    crate::{
+        call::{Answer, Header, Request},
+        framed::Framed,
+    },
     async_h1::client,
     async_io::Timer,
     async_std::net::TcpStream,
     async_trait::async_trait,
     derive_more::{Display, Error},
     futures::{
-        AsyncRead, AsyncReadExt, AsyncWrite,
+        AsyncReadExt,
         future::{Either, select},
     },
     http_types::{Body, Method, Url, headers},
     parking_lot::Mutex,
     smol_str::{SmolStr, ToSmolStr, format_smolstr},
-    std::{
-        io,
-        net::SocketAddr,
-        pin::{Pin, pin},
-        str::FromStr,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
-        task::{Context, Poll},
-        time::Duration,
-    },
+    std::{io, net::SocketAddr, pin::pin, str::FromStr, time::Duration},
 };
 
 /// Longest wait for a connection to a backend server on the same VM.
@@ -128,43 +120,42 @@
 
     async fn exchange(
         &self,
-        stream: TcpStream,
-        has_written: Arc<AtomicBool>,
+        framed: Framed,
         addr: SocketAddr,
         request: http_types::Request,
     ) -> Result<Answer, (&'static str, SmolStr)> {
         let is_head = request.method() == Method::Head;
-        let watched = Watched {
-            stream: stream.clone(),
-            has_written,
-        };
-        let response = client::connect(watched, request)
+        let response = client::connect(framed.clone(), request)
             .await
             .map_err(|error| ("send request", error.to_smolstr()))?;
         let is_closing = response
             .header(headers::CONNECTION)
             .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
-        let answer = self.whole_answer(response, is_head).await?;
-        if !is_closing && !is_head {
-            self.keep_idle(addr, stream);
+        let answer = self.whole_answer(&framed, response, is_head).await?;
+        if !is_closing && !framed.has_surplus() {
+            self.keep_idle(addr, framed.stream().clone());
         }
         Ok(answer)
     }
 
     async fn whole_answer(
         &self,
+        framed: &Framed,
         mut response: http_types::Response,
         is_head: bool,
     ) -> Result<Answer, (&'static str, SmolStr)> {
         let status = u16::from(response.status());
-        let has_body = !is_head && status >= 200 && status != 204 && status != 304;
-        let expected_bytes = content_length(&response);
-        let is_chunked = response.header(headers::TRANSFER_ENCODING).is_some();
-        if has_body && expected_bytes.is_none() && !is_chunked {
+        if status < 200 {
+            return Err(("read answer", "the answer is only an interim one".into()));
+        }
+        let has_body = !is_head && status != 204 && status != 304;
+        let expected_bytes = content_length(&response)?;
+        if has_body && expected_bytes.is_none() && !is_chunked(&response) {
             return Err(("read answer", "the answer does not tell its length".into()));
         }
         let mut body = Vec::new();
         if has_body {
+            framed.expect_body(expected_bytes.map(|expected| expected as u64));
             let limit_bytes = self.max_body_bytes as u64 + 1;
             let mut reader = response.take_body().take(limit_bytes);
             reader
@@ -211,19 +202,16 @@
             .connection(addr)
             .await
             .map_err(|error| fault("connect", error.to_smolstr(), false, false))?;
-        let has_written = Arc::new(AtomicBool::new(false));
-        let exchange = pin!(self.exchange(stream, Arc::clone(&has_written), addr, outgoing));
+        let framed = Framed::new(stream);
+        let exchange = pin!(self.exchange(framed.clone(), addr, outgoing));
         let timer = Timer::after(Duration::from_micros(instructions.remaining_us));
         match select(exchange, timer).await {
             Either::Left((Ok(answer), _)) => Ok(answer),
-            Either::Left((Err((step, detail)), _)) => Err(fault(
-                step,
-                detail,
-                has_written.load(Ordering::Relaxed),
-                false,
-            )),
+            Either::Left((Err((step, detail)), _)) => {
+                Err(fault(step, detail, framed.was_offered(), false))
+            }
             Either::Right(_) => {
-                let sent = has_written.load(Ordering::Relaxed);
+                let sent = framed.was_offered();
                 Err(fault(
                     "wait for answer",
                     "deadline passed".into(),
@@ -244,53 +232,31 @@
     }
 }
 
-/// Stream that remembers whether any byte was handed to it for sending.
-struct Watched {
-    stream: TcpStream,
-    has_written: Arc<AtomicBool>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.has_written.store(true, Ordering::Relaxed);
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
-
 /// An idle connection is open if there is nothing to read from it yet.
 async fn is_open(stream: &TcpStream) -> bool {
     let mut byte = [0];
     futures::poll!(pin!(stream.peek(&mut byte))).is_pending()
 }
 
-fn content_length(response: &http_types::Response) -> Option<usize> {
-    response
-        .header(headers::CONTENT_LENGTH)?
-        .as_str()
-        .parse()
-        .ok()
+fn content_length(
+    response: &http_types::Response,
+) -> Result<Option<usize>, (&'static str, SmolStr)> {
+    let Some(lengths) = response.header(headers::CONTENT_LENGTH) else {
+        return Ok(None);
+    };
+    let length = lengths.last().as_str();
+    let is_single = lengths.iter().all(|other| other.as_str() == length);
+    match length.parse() {
+        Ok(length_bytes) if is_single => Ok(Some(length_bytes)),
+        _ => Err(("read answer", "the answer's length is not clear".into())),
+    }
+}
+
+fn is_chunked(response: &http_types::Response) -> bool {
+    let codings = response.header(headers::TRANSFER_ENCODING);
+    codings.is_some_and(|codings| {
+        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked")
+    })
 }
 
 fn to_http(
@@ -345,11 +311,12 @@
     let all = message.as_headers().iter();
     let passed = all.filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
     passed
-        .flat_map(|(name, values)| {
-            values.iter().map(|value| Header {
-                name: name.as_str().into(),
-                value: value.as_str().into(),
-            })
+        .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
+        // A line end in a value would cut the head short for whoever reads it next.
+        .filter(|(_, value)| !value.as_str().contains(['\r', '\n']))
+        .map(|(name, value)| Header {
+            name: name.as_str().into(),
+            value: value.as_str().into(),
         })
         .collect()
 }
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -4,6 +4,7 @@
     crate::{
         backend::end_to_end,
         call::{Answer, Request},
+        framed::Framed,
         metrics::Metrics,
         policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
@@ -21,6 +22,7 @@
         future::{Either, select},
     },
     http_types::headers,
+    parking_lot::Mutex,
     smol_str::{SmolStr, ToSmolStr},
     std::{
         io,
@@ -29,7 +31,7 @@
         pin::pin,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -38,13 +40,21 @@
 /// Path under which the daemon itself answers callers.
 const TICKETS_PATH: &str = "/.shallotdeal/tickets/:service";
 
-/// Answer to bytes that are no HTTP/1.1 request.
-const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\
-request-outcome: not-run\r\nrequest-reason: bad-request\r\n\r\n";
-
-/// Time for a client to read the answer to bytes that are no request.
+/// Time for a client to read the answer after which the daemon closes the connection.
 const LINGER_MS: u64 = 200;
 
+/// Connections over the limit that are told so at one time; more are closed without an answer.
+const MAX_TURNED_AWAY: usize = 64;
+
+/// Advice to a caller whose connection was over the limit.
+const TURNED_AWAY_RETRY_AFTER_MS: u32 = 1_000;
+
+/// Wait after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 100;
+
+/// Failures to accept in a row after which the listener is given up.
+const MAX_ACCEPT_FAILURES: u32 = 100;
+
 /// Who sent a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Origin {
@@ -110,10 +120,32 @@
     metrics: Arc<Metrics>,
     limits: Limits,
     connections: AtomicUsize,
+    turned_away: AtomicUsize,
 }
 
-/// Connection that a request came over.
-struct Connection(TcpStream);
+/// How far the exchange on one connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// A head is awaited.
+    Head,
+    /// The request is being handled.
+    Work,
+    /// The answer is being sent.
+    Answer,
+}
+
+/// Why a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Nothing is owed to the caller.
+    Clean,
+    /// What came is no request.
+    Malformed,
+    /// A head was begun and not finished in time.
+    HeadOverdue,
+    /// The caller does not take its answer.
+    AnswerStalled,
+}
 
 type App = tide::Server<Arc<Ingress>>;
 
@@ -125,6 +157,7 @@
             metrics,
             limits,
             connections: AtomicUsize::new(0),
+            turned_away: AtomicUsize::new(0),
         })
     }
 
@@ -138,56 +171,118 @@
         let mut app = tide::with_state(Arc::clone(&self));
         app.at(TICKETS_PATH).post(ticket);
         app.at("/:service").all(pass);
+        app.at("/:service/").all(pass);
         app.at("/:service/*").all(pass);
+        app.at("/").all(pass);
+        app.at("/*").all(pass);
+        let mut failures = 0;
         loop {
-            let (stream, _) = listener.accept().await?;
-            if self.connections.load(Ordering::Relaxed) >= self.limits.max_connections {
-                self.metrics.count("ingress.connection_refused");
-                continue;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    failures = 0;
+                    self.accepted(stream, &app);
+                }
+                Err(error) if failures >= MAX_ACCEPT_FAILURES => return Err(error),
+                Err(_) => {
+                    failures += 1;
+                    self.metrics.count("ingress.accept_failed");
+                    Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                }
             }
+        }
+    }
+
+    fn accepted(self: &Arc<Self>, stream: TcpStream, app: &App) {
+        if self.connections.load(Ordering::Relaxed) < self.limits.max_connections {
             self.connections.fetch_add(1, Ordering::Relaxed);
-            task::spawn(Arc::clone(&self).connection(stream, app.clone()));
+            task::spawn(Arc::clone(self).connection(stream, app.clone()));
+            return;
         }
+        self.metrics.count("ingress.connection_refused");
+        if self.turned_away.load(Ordering::Relaxed) < MAX_TURNED_AWAY {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+            task::spawn(Arc::clone(self).turn_away(stream));
+        }
+    }
+
+    async fn turn_away(self: Arc<Self>, stream: TcpStream) {
+        let refusal = Refusal::not_run(Reason::Overload);
+        refuse(stream, refusal.retry_after_ms(TURNED_AWAY_RETRY_AFTER_MS)).await;
+        self.turned_away.fetch_sub(1, Ordering::Relaxed);
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream, app: App) {
         let _ = stream.set_nodelay(true);
-        let serving = AssertUnwindSafe(serve(&stream, &app, self.limits.read_timeout_ms));
+        let framed = Framed::new(stream.clone());
+        let serving = AssertUnwindSafe(serve(&framed, &app, self.limits.read_timeout_ms));
         match serving.catch_unwind().await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => {
+            Ok(End::Clean) => linger(stream).await,
+            Ok(End::Malformed) => {
                 self.metrics.count("ingress.malformed");
-                refuse_malformed(stream).await;
+                refuse(stream, Refusal::not_run(Reason::BadRequest)).await;
             }
+            Ok(End::HeadOverdue) => {
+                self.metrics.count("ingress.head_overdue");
+                refuse(stream, Refusal::not_run(Reason::BadRequest)).await;
+            }
+            Ok(End::AnswerStalled) => self.metrics.count("ingress.answer_stalled"),
             Err(_) => self.metrics.count("ingress.panicked"),
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
 
     async fn answer(&self, mut request: tide::Request<Arc<Self>>) -> tide::Response {
-        let connection = request.ext::<Arc<Connection>>().cloned();
-        let incoming = match self.incoming(&mut request).await {
-            Ok(incoming) => incoming,
-            Err(refusal) => return self.refused(refusal),
-        };
-        let request_id = incoming.request_id;
-        let work = pin!(self.handle.handle(incoming));
-        let result = match connection {
-            Some(connection) => match select(work, pin!(hang_up(&connection.0))).await {
-                Either::Left((result, _)) => result,
-                Either::Right(_) => Err(Refusal::unknown(Reason::Cancelled)),
-            },
-            None => work.await,
+        let (request_id, result) = match request_id(&request) {
+            Ok(own_id) => {
+                let request_id = own_id.unwrap_or_else(new_request_id);
+                let result = self
+                    .result(&mut request, request_id, own_id.is_some())
+                    .await;
+                (request_id, result)
+            }
+            Err(refusal) => (new_request_id(), Err(refusal)),
         };
         let mut response = match result {
             Ok(answer) => self.done(&answer),
             Err(refusal) => self.refused(refusal),
         };
+        if response.header(headers::CONNECTION).is_some()
+            && let Some(framed) = request.ext::<Framed>()
+        {
+            framed.end_input();
+        }
         response.insert_header("request-id", request_id.to_string());
         response
     }
 
-    async fn incoming(&self, request: &mut tide::Request<Arc<Self>>) -> Result<Incoming, Refusal> {
+    async fn result(
+        &self,
+        request: &mut tide::Request<Arc<Self>>,
+        request_id: RequestId,
+        has_own_id: bool,
+    ) -> Result<Arc<Answer>, Refusal> {
+        let framed = request.ext::<Framed>().cloned();
+        let incoming = self.incoming(request, request_id, has_own_id).await?;
+        let handling = AssertUnwindSafe(self.handle.handle(incoming)).catch_unwind();
+        let ended = match framed {
+            Some(framed) => match select(pin!(handling), pin!(hang_up(framed.stream()))).await {
+                Either::Left((ended, _)) => ended,
+                Either::Right(_) => return Err(Refusal::unknown(Reason::Cancelled)),
+            },
+            None => handling.await,
+        };
+        ended.unwrap_or_else(|_| {
+            self.metrics.count("ingress.panicked");
+            Err(Refusal::unknown(Reason::Internal))
+        })
+    }
+
+    async fn incoming(
+        &self,
+        request: &mut tide::Request<Arc<Self>>,
+        request_id: RequestId,
+        has_own_id: bool,
+    ) -> Result<Incoming, Refusal> {
         let body = self.body(request).await?;
         let service = request.param("service").unwrap_or_default().to_smolstr();
         let url = request.url();
@@ -202,7 +297,6 @@
             Some(call_id) => Origin::Nested(call_id),
             None => Origin::Caller(caller_ip(request)),
         };
-        let own_id = parsed(request, "request-id", parse_request_id)?;
         let inner: &http_types::Request = request.as_ref();
         Ok(Incoming {
             origin,
@@ -213,8 +307,8 @@
                 headers: end_to_end(inner),
                 body,
             },
-            request_id: own_id.unwrap_or_else(|| RequestId(rand::random())),
-            has_own_id: own_id.is_some(),
+            request_id,
+            has_own_id,
             class: text(request, "request-class"),
             timeout_ms: parsed(request, "request-timeout", |text| text.parse().ok())?,
             attempt: parsed(request, "request-attempt", |text| text.parse().ok())?.unwrap_or(0),
@@ -225,6 +319,9 @@
     }
 
     async fn body(&self, request: &mut tide::Request<Arc<Self>>) -> Result<Vec<u8>, Refusal> {
+        if !has_clear_length(request) {
+            return Err(Refusal::not_run(Reason::BadRequest));
+        }
         let expected_bytes = request.len();
         let limit_bytes = self.limits.max_body_bytes;
         if expected_bytes.is_some_and(|expected| expected > limit_bytes) {
@@ -274,39 +371,83 @@
     }
 }
 
-async fn serve(stream: &TcpStream, app: &App, read_timeout_ms: u64) -> http_types::Result<()> {
-    let peer = stream.peer_addr().ok();
-    let connection = Arc::new(Connection(stream.clone()));
-    let has_head = Arc::new(AtomicBool::new(false));
+async fn serve(framed: &Framed, app: &App, read_timeout_ms: u64) -> End {
+    let peer = framed.stream().peer_addr().ok();
+    let stage = Arc::new(Mutex::new(Stage::Head));
     let endpoint = |mut request: http_types::Request| {
-        has_head.store(true, Ordering::Relaxed);
+        *stage.lock() = Stage::Work;
+        framed.expect_body(request.len().map(|length| length as u64));
         request.set_peer_addr(peer);
-        request.ext_mut().insert(Arc::clone(&connection));
+        request.ext_mut().insert(framed.clone());
         let app = app.clone();
-        async move { app.respond(request).await }
+        let stage = Arc::clone(&stage);
+        async move {
+            let response = app.respond(request).await;
+            *stage.lock() = Stage::Answer;
+            response
+        }
     };
-    let mut server = Server::new(stream.clone(), endpoint);
+    let mut server = Server::new(framed.clone(), endpoint);
     loop {
-        has_head.store(false, Ordering::Relaxed);
-        let overdue = pin!(head_overdue(&has_head, read_timeout_ms));
-        match select(pin!(server.accept_one()), overdue).await {
-            Either::Left((Ok(ConnectionStatus::KeepAlive), _)) => {}
-            Either::Left((Err(error), _)) => return Err(error),
-            _ => return Ok(()),
+        if !framed.expect_head() {
+            return End::Clean;
+        }
+        *stage.lock() = Stage::Head;
+        let stalled = pin!(stalled(framed, &stage, read_timeout_ms));
+        let is_open = match select(pin!(server.accept_one()), stalled).await {
+            Either::Left((Ok(status), _)) => status == ConnectionStatus::KeepAlive,
+            Either::Left((Err(_), _)) => false,
+            Either::Right((Stage::Head, _)) if framed.has_begun() => return End::HeadOverdue,
+            Either::Right((Stage::Head, _)) => return End::Clean,
+            Either::Right(_) => return End::AnswerStalled,
+        };
+        if *stage.lock() == Stage::Head && framed.has_begun() {
+            return End::Malformed;
+        }
+        if !is_open {
+            return End::Clean;
         }
     }
 }
 
-/// Ends when a request's head is not there in time; never ends otherwise.
-async fn head_overdue(has_head: &AtomicBool, read_timeout_ms: u64) {
-    Timer::after(Duration::from_millis(read_timeout_ms)).await;
-    if has_head.load(Ordering::Relaxed) {
-        std::future::pending::<()>().await;
+/// Ends when a head is not there in time, or when no byte of an answer is taken for that long.
+async fn stalled(framed: &Framed, stage: &Mutex<Stage>, timeout_ms: u64) -> Stage {
+    let mut seen_bytes = None;
+    loop {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+        let now = *stage.lock();
+        let written_bytes = Some(framed.written_bytes());
+        match now {
+            Stage::Head => return now,
+            Stage::Work => seen_bytes = None,
+            Stage::Answer if seen_bytes == written_bytes => return now,
+            Stage::Answer => seen_bytes = written_bytes,
+        }
     }
 }
 
-async fn refuse_malformed(mut stream: TcpStream) {
-    let _ = stream.write_all(MALFORMED).await;
+/// Answers a connection on which no request was understood.
+async fn refuse(mut stream: TcpStream, refusal: Refusal) {
+    let status = status_of(refusal);
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\ncontent-length: 0\r\nconnection: close\r\n\
+         request-id: {}\r\nrequest-outcome: {}\r\nrequest-reason: {}\r\n",
+        u16::from(status),
+        status.canonical_reason(),
+        new_request_id(),
+        refusal.outcome,
+        refusal.reason,
+    );
+    if let Some(after_ms) = refusal.retry_after_ms {
+        head.push_str(&format!("retry-after: {}\r\n", after_ms.div_ceil(1_000)));
+    }
+    head.push_str("\r\n");
+    let _ = stream.write_all(head.as_bytes()).await;
+    linger(stream).await;
+}
+
+/// Closes a connection so that the caller can still read what was sent.
+async fn linger(mut stream: TcpStream) {
     let _ = stream.shutdown(std::net::Shutdown::Write);
     let mut rest = [0; 4_096];
     let drain = pin!(async { while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {} });
@@ -331,14 +472,35 @@
     let ingress = Arc::clone(request.state());
     let service = request.param("service").unwrap_or_default().to_smolstr();
     let minted = ingress.handle.ticket(service).await;
-    Ok(match minted {
+    let mut response = match minted {
         Ok(ticket) => {
             let mut response = tide::Response::new(tide::StatusCode::Created);
             response.insert_header("request-ticket", ticket.as_str());
             response
         }
         Err(refusal) => ingress.refused(refusal),
-    })
+    };
+    response.insert_header("request-id", new_request_id().to_string());
+    Ok(response)
+}
+
+/// Tells whether a request says in one way only where its body ends.
+fn has_clear_length(request: &tide::Request<Arc<Ingress>>) -> bool {
+    let lengths = request.header(headers::CONTENT_LENGTH);
+    let is_single = lengths.is_none_or(|lengths| lengths.iter().count() == 1);
+    let codings = request.header(headers::TRANSFER_ENCODING);
+    let is_chunked = codings.is_none_or(|codings| {
+        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked")
+    });
+    is_single && is_chunked
+}
+
+fn request_id(request: &tide::Request<Arc<Ingress>>) -> Result<Option<RequestId>, Refusal> {
+    parsed(request, "request-id", parse_request_id)
+}
+
+fn new_request_id() -> RequestId {
+    RequestId(rand::random())
 }
 
 fn caller_ip(request: &tide::Request<Arc<Ingress>>) -> IpAddr {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 #[rustfmt::skip]
 pub mod fleet_capnp;
 pub mod forward;
+pub mod framed;
 pub mod ingress;
 pub mod local;
 pub mod logs;
