--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -4,13 +4,13 @@
     crate::{
         backend::end_to_end,
         call::{Answer, Request},
+        connection::{End, hang_up, linger, refuse, serve},
         framed::Framed,
         metrics::Metrics,
         policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
         settings::Limits,
     },
-    async_h1::server::{ConnectionStatus, Server},
     async_io::Timer,
     async_std::{
         net::{TcpListener, TcpStream},
@@ -18,11 +18,10 @@
     },
     async_trait::async_trait,
     futures::{
-        AsyncReadExt, AsyncWriteExt, FutureExt,
+        AsyncReadExt, FutureExt,
         future::{Either, select},
     },
     http_types::headers,
-    parking_lot::Mutex,
     smol_str::{SmolStr, ToSmolStr},
     std::{
         io,
@@ -40,9 +39,6 @@
 /// Path under which the daemon itself answers callers.
 const TICKETS_PATH: &str = "/.shallotdeal/tickets/:service";
 
-/// Time for a client to read the answer after which the daemon closes the connection.
-const LINGER_MS: u64 = 200;
-
 /// Connections over the limit that are told so at one time; more are closed without an answer.
 const MAX_TURNED_AWAY: usize = 64;
 
@@ -123,30 +119,6 @@
     turned_away: AtomicUsize,
 }
 
-/// How far the exchange on one connection has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// A head is awaited.
-    Head,
-    /// The request is being handled.
-    Work,
-    /// The answer is being sent.
-    Answer,
-}
-
-/// Why a connection ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    /// Nothing is owed to the caller.
-    Clean,
-    /// What came is no request.
-    Malformed,
-    /// A head was begun and not finished in time.
-    HeadOverdue,
-    /// The caller does not take its answer.
-    AnswerStalled,
-}
-
 type App = tide::Server<Arc<Ingress>>;
 
 impl Ingress {
@@ -371,98 +343,6 @@
     }
 }
 
-async fn serve(framed: &Framed, app: &App, read_timeout_ms: u64) -> End {
-    let peer = framed.stream().peer_addr().ok();
-    let stage = Arc::new(Mutex::new(Stage::Head));
-    let endpoint = |mut request: http_types::Request| {
-        *stage.lock() = Stage::Work;
-        framed.expect_body(request.len().map(|length| length as u64));
-        request.set_peer_addr(peer);
-        request.ext_mut().insert(framed.clone());
-        let app = app.clone();
-        let stage = Arc::clone(&stage);
-        async move {
-            let response = app.respond(request).await;
-            *stage.lock() = Stage::Answer;
-            response
-        }
-    };
-    let mut server = Server::new(framed.clone(), endpoint);
-    loop {
-        if !framed.expect_head() {
-            return End::Clean;
-        }
-        *stage.lock() = Stage::Head;
-        let stalled = pin!(stalled(framed, &stage, read_timeout_ms));
-        let is_open = match select(pin!(server.accept_one()), stalled).await {
-            Either::Left((Ok(status), _)) => status == ConnectionStatus::KeepAlive,
-            Either::Left((Err(_), _)) => false,
-            Either::Right((Stage::Head, _)) if framed.has_begun() => return End::HeadOverdue,
-            Either::Right((Stage::Head, _)) => return End::Clean,
-            Either::Right(_) => return End::AnswerStalled,
-        };
-        if *stage.lock() == Stage::Head && framed.has_begun() {
-            return End::Malformed;
-        }
-        if !is_open {
-            return End::Clean;
-        }
-    }
-}
-
-/// Ends when a head is not there in time, or when no byte of an answer is taken for that long.
-async fn stalled(framed: &Framed, stage: &Mutex<Stage>, timeout_ms: u64) -> Stage {
-    let mut seen_bytes = None;
-    loop {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        let now = *stage.lock();
-        let written_bytes = Some(framed.written_bytes());
-        match now {
-            Stage::Head => return now,
-            Stage::Work => seen_bytes = None,
-            Stage::Answer if seen_bytes == written_bytes => return now,
-            Stage::Answer => seen_bytes = written_bytes,
-        }
-    }
-}
-
-/// Answers a connection on which no request was understood.
-async fn refuse(mut stream: TcpStream, refusal: Refusal) {
-    let status = status_of(refusal);
-    let mut head = format!(
-        "HTTP/1.1 {} {}\r\ncontent-length: 0\r\nconnection: close\r\n\
-         request-id: {}\r\nrequest-outcome: {}\r\nrequest-reason: {}\r\n",
-        u16::from(status),
-        status.canonical_reason(),
-        new_request_id(),
-        refusal.outcome,
-        refusal.reason,
-    );
-    if let Some(after_ms) = refusal.retry_after_ms {
-        head.push_str(&format!("retry-after: {}\r\n", after_ms.div_ceil(1_000)));
-    }
-    head.push_str("\r\n");
-    let _ = stream.write_all(head.as_bytes()).await;
-    linger(stream).await;
-}
-
-/// Closes a connection so that the caller can still read what was sent.
-async fn linger(mut stream: TcpStream) {
-    let _ = stream.shutdown(std::net::Shutdown::Write);
-    let mut rest = [0; 4_096];
-    let drain = pin!(async { while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {} });
-    select(drain, Timer::after(Duration::from_millis(LINGER_MS))).await;
-}
-
-/// Waits until the other side has closed the connection.
-async fn hang_up(stream: &TcpStream) {
-    let mut byte = [0];
-    match stream.peek(&mut byte).await {
-        Ok(0) | Err(_) => {}
-        Ok(_) => std::future::pending().await,
-    }
-}
-
 async fn pass(request: tide::Request<Arc<Ingress>>) -> tide::Result {
     let ingress = Arc::clone(request.state());
     Ok(ingress.answer(request).await)
@@ -499,7 +379,7 @@
     parsed(request, "request-id", parse_request_id)
 }
 
-fn new_request_id() -> RequestId {
+pub(crate) fn new_request_id() -> RequestId {
     RequestId(rand::random())
 }
 
@@ -534,7 +414,7 @@
         .flatten()
 }
 
-fn status_of(refusal: Refusal) -> tide::StatusCode {
+pub(crate) fn status_of(refusal: Refusal) -> tide::StatusCode {
     use tide::StatusCode;
     match (refusal.outcome, refusal.reason) {
         (_, Reason::BadRequest) => StatusCode::BadRequest,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cmd;
 pub mod collections;
 pub mod config;
+mod connection;
 pub mod control;
 pub mod daemon;
 pub mod directory;
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -14,17 +14,37 @@
     std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
 };
 
-/// First wait before a restart.
-const FIRST_BACKOFF_MS: u64 = 50;
-
-/// Longest wait before a restart.
-const MAX_BACKOFF_MS: u64 = 5_000;
+/// When children are restarted, and when they are given up.
+#[derive(Debug, Clone, Copy)]
+pub struct RestartRules {
+    /// First wait before a restart; it doubles with each further one.
+    pub first_backoff_ms: u64,
+    /// Longest wait before a restart.
+    pub max_backoff_ms: u64,
+    /// Restarts in a row after which a parent gives up.
+    pub max_restarts: u32,
+    /// Run time after which a task counts as healthy again.
+    pub healthy_after_ms: u64,
+}
 
-/// Restarts in a row after which a parent gives up.
-const MAX_RESTARTS: u32 = 10;
+impl Default for RestartRules {
+    fn default() -> Self {
+        Self {
+            first_backoff_ms: 50,
+            max_backoff_ms: 5_000,
+            max_restarts: 10,
+            healthy_after_ms: 30_000,
+        }
+    }
+}
 
-/// Run time after which a task counts as healthy again.
-const HEALTHY_AFTER_MS: u64 = 30_000;
+impl RestartRules {
+    /// Wait before the restart of this number, counted from one.
+    pub fn backoff(&self, restarts: u32) -> Duration {
+        let doubled_ms = self.first_backoff_ms << restarts.saturating_sub(1).min(16);
+        Duration::from_millis(doubled_ms.min(self.max_backoff_ms))
+    }
+}
 
 /// Failure of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -52,14 +72,21 @@
 /// Parent of long tasks.
 pub struct Supervisor {
     metrics: Arc<Metrics>,
+    rules: RestartRules,
     children: Vec<(&'static str, Start)>,
 }
 
 impl Supervisor {
     /// Creates a parent without children.
     pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self::with_rules(metrics, RestartRules::default())
+    }
+
+    /// Creates a parent without children that restarts them by other rules.
+    pub fn with_rules(metrics: Arc<Metrics>, rules: RestartRules) -> Self {
         Self {
             metrics,
+            rules,
             children: Vec::new(),
         }
     }
@@ -76,11 +103,11 @@
 
     /// Runs all children until one of them cannot be kept running.
     pub async fn run(self) -> TaskError {
-        let metrics = self.metrics;
+        let (metrics, rules) = (self.metrics, self.rules);
         let running: Vec<_> = self
             .children
             .into_iter()
-            .map(|(name, start)| task::spawn(keep(name, start, Arc::clone(&metrics))))
+            .map(|(name, start)| task::spawn(keep(name, start, rules, Arc::clone(&metrics))))
             .collect();
         if running.is_empty() {
             return TaskError::new("supervisor", &"no children");
@@ -93,7 +120,12 @@
     }
 }
 
-async fn keep(name: &'static str, start: Start, metrics: Arc<Metrics>) -> TaskError {
+async fn keep(
+    name: &'static str,
+    start: Start,
+    rules: RestartRules,
+    metrics: Arc<Metrics>,
+) -> TaskError {
     let mut restarts = 0;
     loop {
         let started = std::time::Instant::now();
@@ -103,22 +135,17 @@
             Ok(Err(fault)) => fault,
             Err(_) => TaskError::new(name, &"panicked"),
         };
-        if started.elapsed() > Duration::from_millis(HEALTHY_AFTER_MS) {
+        if started.elapsed() > Duration::from_millis(rules.healthy_after_ms) {
             restarts = 0;
         }
         restarts += 1;
-        metrics.count("task.restart");
-        if restarts > MAX_RESTARTS {
+        if restarts > rules.max_restarts {
+            metrics.count("task.given_up");
             tracing::error!(task = name, %fault, "task given up");
             return fault;
         }
+        metrics.count("task.restart");
         tracing::warn!(task = name, %fault, restarts, "task restarted");
-        Timer::after(backoff(restarts)).await;
+        Timer::after(rules.backoff(restarts)).await;
     }
 }
-
-/// Wait before the restart of this number.
-fn backoff(restarts: u32) -> Duration {
-    let doubled_ms = FIRST_BACKOFF_MS << restarts.saturating_sub(1).min(16);
-    Duration::from_millis(doubled_ms.min(MAX_BACKOFF_MS))
-}
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -9,7 +9,7 @@
     },
     std::{
         io::{Read, Write},
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, TcpStream},
         sync::mpsc::{Receiver, channel},
         thread,
         time::Duration,
@@ -43,16 +43,14 @@
         for script in scripts {
             let (mut stream, _) = listener.accept().unwrap();
             let mut bytes = [0; 4_096];
-            let read = stream.read(&mut bytes).unwrap();
-            let _ = requests.send(String::from_utf8_lossy(&bytes[..read]).into_owned());
+            let _ = requests.send(read_request(&mut stream));
             for step in script {
                 match step {
                     Step::Write(text) => stream.write_all(text.as_bytes()).unwrap(),
                     Step::Stall => while stream.read(&mut bytes).is_ok_and(|read| read > 0) {},
                     Step::Close => break,
                     Step::Next => {
-                        let read = stream.read(&mut bytes).unwrap();
-                        let _ = requests.send(String::from_utf8_lossy(&bytes[..read]).into_owned());
+                        let _ = requests.send(read_request(&mut stream));
                     }
                 }
             }
@@ -62,6 +60,18 @@
     (addr, seen)
 }
 
+/// Reads up to the end of the body that all requests have.
+fn read_request(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    while !text.ends_with("\r\n\r\nbody") {
+        let mut bytes = [0; 4_096];
+        let read = stream.read(&mut bytes).unwrap();
+        assert!(read > 0, "cut after {text}");
+        text.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+    }
+    text
+}
+
 fn request(method: &str) -> Request {
     Request {
         method: method.into(),
