--- a/src/operators.rs
+++ b/src/operators.rs
@@ -6,11 +6,13 @@
         cmd::CommandError,
     },
     async_h1::client,
+    async_io::Timer,
     async_std::{net::TcpStream, task},
+    futures::future::{Either, select},
     http_types::{Method, Request, Url},
     serde_json::Value,
     smol_str::ToSmolStr,
-    std::{fmt::Write, io, net::SocketAddr, sync::Arc},
+    std::{fmt::Write, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
 };
 
 /// What a daemon shows of itself.
@@ -80,6 +82,9 @@
 
 const DUMP_PATH: &str = "/dump";
 
+/// Longest wait for a daemon; a change may wait for all data centres.
+const ANSWER_TIMEOUT_MS: u64 = 60_000;
+
 /// Operator's side of the protocol.
 #[derive(Debug)]
 pub struct Client {
@@ -142,6 +147,15 @@
     }
 
     async fn exchange(&self, request: Request) -> Result<String, CommandError> {
+        let answer = pin!(self.answer(request));
+        let timer = Timer::after(Duration::from_millis(ANSWER_TIMEOUT_MS));
+        match select(answer, timer).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Err(self.fault("wait for", &"no answer in time")),
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Result<String, CommandError> {
         let stream = TcpStream::connect(self.daemon)
             .await
             .map_err(|error| self.fault("connect to", &error))?;
@@ -155,6 +169,9 @@
         if response.status().is_success() {
             return Ok(text);
         }
+        if response.status().is_server_error() {
+            return Err(self.fault("ask", &text.trim_end()));
+        }
         Err(CommandError::Refused { detail: text })
     }
 
