--- a/examples/hop.rs
+++ b/examples/hop.rs
@@ -203,19 +203,24 @@
 }
 
 fn serve_rpc() -> SocketAddr {
-    let (listener, addr) = listen();
-    thread::spawn(move || task::block_on(server::listen(listener, Arc::new(Echo))));
+    let (free, addr) = listen();
+    drop(free);
+    thread::spawn(move || task::block_on(server::listen(addr, Arc::new(Echo))));
+    while std::net::TcpStream::connect(addr).is_err() {
+        thread::yield_now();
+    }
     addr
 }
 
 fn serve_http() -> SocketAddr {
     let (listener, addr) = listen();
-    task::spawn(async move {
+    let serving = async move {
         while let Ok((stream, _)) = listener.accept().await {
             stream.set_nodelay(true).expect("the stream is open");
-            task::spawn(async move { Server::new(stream, echo).accept().await });
+            task::spawn_local(async move { Server::new(stream, echo).accept().await });
         }
-    });
+    };
+    thread::spawn(move || task::block_on(serving));
     addr
 }
 
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Fleet, MAX_SUSPECTS_BYTES, Peer, level_differs,
+        Fleet, MAX_HEARD, MAX_SUSPECTS_BYTES, Peer, level_differs,
         member::{Generation, Light, Member, MemberKey, Status},
         message::{Body, Message, Send},
         news::{Subject, Urgency},
@@ -27,7 +27,7 @@
         let mut wants = Vec::new();
         let mut fresh = 0;
         if is_local {
-            fresh += self.take_members(&message.members, now_us);
+            fresh += self.take_members(message, now_us);
             self.take_lights(&message.lights, now_us, &mut wants);
             self.heard(message.generation, now_us, &mut wants);
         } else {
@@ -35,14 +35,15 @@
         }
         let mut known = self.message(Body::News);
         self.take_beats(&message.beats, now_us, is_local, &mut known);
-        fresh += self.take_summaries(&message.summaries, is_local, &mut known);
+        fresh += self.take_summaries(message, is_local, &mut known);
         if fresh >= CATCH_UP_RECORDS {
             self.timers.sync_soon(now_us);
         }
         known.wants = wants;
         let from = message.from;
-        self.answer_wants(&message.wants, from, out);
+        self.answer_wants(&message.wants, from, message.repair, out);
         if let Body::Digest(digest) = &message.body {
+            known.repair = true;
             self.answer_digest(digest, message, &mut known, out);
         }
         if !known.wants.is_empty() || !known.beats.is_empty() || !known.summaries.is_empty() {
@@ -56,6 +57,8 @@
             .remote
             .meet(&message.data_centre, &message.region, message.from);
         if is_new {
+            let subject = Subject::Beat(message.data_centre.clone());
+            self.news.push(subject, Urgency::Normal, self.live);
             self.events.push(Event::CentreMet {
                 data_centre: message.data_centre.clone(),
             });
@@ -72,16 +75,16 @@
         }
     }
 
-    fn take_members(&mut self, members: &[Member], now_us: u64) -> usize {
+    fn take_members(&mut self, message: &Message, now_us: u64) -> usize {
         let mut fresh = 0;
-        for member in members {
+        for member in &message.members {
             if member.place.data_centre != self.me.place.data_centre {
                 continue;
             }
             if member.place.name == self.me.place.name {
                 self.hear_of_self(member.generation, member.status, member.version, now_us);
             } else {
-                fresh += usize::from(self.take_member(member, now_us));
+                fresh += usize::from(self.take_member(member, message.repair, now_us));
             }
         }
         fresh
@@ -118,19 +121,20 @@
     }
 
     /// Tells whether the member was unknown.
-    fn take_member(&mut self, member: &Member, now_us: u64) -> bool {
+    fn take_member(&mut self, member: &Member, repair: bool, now_us: u64) -> bool {
         if member.suspects.len() > MAX_SUSPECTS_BYTES {
             return false;
         }
+        self.hear_suspects(member);
         let Some(key) = self.by_name.get(&member.place.name).copied() else {
-            return self.insert(member, now_us);
+            return self.insert(member, repair, now_us);
         };
         let Some(peer) = self.peers.get_mut(key) else {
             return false;
         };
         if peer.member.generation < member.generation {
             self.remove(key);
-            return self.insert(member, now_us);
+            return self.insert(member, repair, now_us);
         }
         let is_newer =
             peer.member.generation == member.generation && peer.member.order() < member.order();
@@ -144,6 +148,16 @@
         false
     }
 
+    /// Keeps a digest for whoever merges it; digests may be taken in any order.
+    fn hear_suspects(&mut self, member: &Member) {
+        let key = self.by_name.get(&member.place.name);
+        let known = key.and_then(|key| self.peers.get(*key));
+        let is_known = known.is_some_and(|peer| peer.member.suspects == member.suspects);
+        if !is_known && !member.suspects.is_empty() && self.heard_suspects.len() < MAX_HEARD {
+            self.heard_suspects.push(member.suspects.clone());
+        }
+    }
+
     fn take_light(&mut self, light: &Light, now_us: u64, wants: &mut Vec<u64>) {
         let Some(key) = self.by_generation.get(&light.generation.0).copied() else {
             if light.status.is_live() {
@@ -166,7 +180,7 @@
         self.note_change(key, &before, now_us);
     }
 
-    fn insert(&mut self, member: &Member, now_us: u64) -> bool {
+    fn insert(&mut self, member: &Member, repair: bool, now_us: u64) -> bool {
         if !member.status.is_live() {
             return false;
         }
@@ -184,7 +198,7 @@
         self.live += 1;
         self.probes.add(key, &mut self.rng);
         let subject = Subject::Member(member.generation.0);
-        self.news.push(subject, Urgency::High, self.live);
+        self.news.push(subject, urgency_of_new(repair), self.live);
         self.events.push(Event::Joined {
             name: member.place.name.clone(),
         });
@@ -277,8 +291,15 @@
         for beat in beats {
             if beat.data_centre == self.me.place.data_centre {
                 self.speaker.hear_own_beat(beat.beat);
+                continue;
+            }
+            let subject = Subject::Beat(beat.data_centre.clone());
+            if !self.remote.knows(&beat.data_centre) {
+                self.remote
+                    .meet(&beat.data_centre, &beat.region, beat.contact);
+                self.remote.take_beat(beat, now_us);
+                self.news.push(subject, Urgency::Normal, self.live);
             } else if self.remote.take_beat(beat, now_us) {
-                let subject = Subject::Beat(beat.data_centre.clone());
                 self.news.push(subject, Urgency::Low, self.live);
             } else if !is_local {
                 known.beats.extend(self.remote.beat(&beat.data_centre));
@@ -286,20 +307,16 @@
         }
     }
 
-    fn take_summaries(
-        &mut self,
-        summaries: &[Summary],
-        is_local: bool,
-        known: &mut Message,
-    ) -> usize {
+    fn take_summaries(&mut self, message: &Message, is_local: bool, known: &mut Message) -> usize {
         let mut fresh = 0;
-        for summary in summaries {
+        let unknown = urgency_of_new(message.repair);
+        for summary in &message.summaries {
             if summary.data_centre == self.me.place.data_centre {
                 self.speaker.hear_own_summary(summary);
-            } else if self.remote.take_summary(summary) {
+            } else if let Some(urgency) = self.remote.take_summary(summary, unknown) {
                 fresh += 1;
                 let subject = Subject::Summary(summary.key());
-                self.news.push(subject, Urgency::Normal, self.live);
+                self.news.push(subject, urgency, self.live);
             } else if !is_local {
                 self.push_newer_summary(summary, known);
             }
@@ -316,6 +333,11 @@
     }
 }
 
+/// Urgency of a record that was unknown; what a comparison of digests brought, others know.
+fn urgency_of_new(repair: bool) -> Urgency {
+    if repair { Urgency::Low } else { Urgency::High }
+}
+
 fn urgency_of(before: &Member, after: &Member) -> Urgency {
     let is_draining = |member: &Member| member.worker.as_ref().is_some_and(|ad| ad.draining);
     let is_high = before.status != after.status
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -10,12 +10,10 @@
         policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
         settings::Limits,
+        spawn::spawn,
     },
     async_io::Timer,
-    async_std::{
-        net::{TcpListener, TcpStream},
-        task,
-    },
+    async_std::net::{TcpListener, TcpStream},
     async_trait::async_trait,
     futures::{
         AsyncReadExt, FutureExt,
@@ -167,13 +165,16 @@
     fn accepted(self: &Arc<Self>, stream: TcpStream, app: &App) {
         if self.connections.load(Ordering::Relaxed) < self.limits.max_connections {
             self.connections.fetch_add(1, Ordering::Relaxed);
-            task::spawn(Arc::clone(self).connection(stream, app.clone()));
+            spawn(
+                "connection",
+                Arc::clone(self).connection(stream, app.clone()),
+            );
             return;
         }
         self.metrics.count("ingress.connection_refused");
         if self.turned_away.load(Ordering::Relaxed) < MAX_TURNED_AWAY {
             self.turned_away.fetch_add(1, Ordering::Relaxed);
-            task::spawn(Arc::clone(self).turn_away(stream));
+            spawn("turn away", Arc::clone(self).turn_away(stream));
         }
     }
 
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -4,8 +4,8 @@
     crate::{
         announce,
         ask::executor::Executor,
+        call::Serve,
         control::reader,
-        daemon::CallsEnded,
         directory::FleetDirectory,
         dump::Dump,
         fleet::{Fleet, udp::Gossip},
@@ -14,6 +14,7 @@
         node::Node,
         operators,
         policy::drain::DrainAction,
+        rpc::{client::ClientTask, server},
         supervisor::{Supervisor, TaskError},
         sync::{self, FleetView},
     },
@@ -47,21 +48,18 @@
     pub executor: Arc<Executor>,
     /// State of the process on request.
     pub dump: Arc<Dump>,
+    /// Sending side of calls.
+    pub client_task: ClientTask,
 }
 
 /// Builds the tree: requests and the fleet are branches that fail and restart apart.
-pub fn supervise(tasks: Tasks, calls: CallsEnded) -> Supervisor {
+pub fn supervise(tasks: Tasks) -> Supervisor {
     let metrics = Arc::clone(&tasks.node.metrics);
     let tasks = Arc::new(tasks);
     let mut root = Supervisor::new(metrics);
     let branch = Arc::clone(&tasks);
     root.add("requests", move || request_tasks(&branch).run().map(Err));
     root.add("fleet", move || fleet_tasks(&tasks).run().map(Err));
-    root.add("calls", move || {
-        calls
-            .clone()
-            .map(|_| Err(TaskError::new("calls", &"its thread has ended")))
-    });
     root
 }
 
@@ -80,6 +78,18 @@
             .listen(listen.callers_addr)
             .map(|ended| named("ingress", ended))
     });
+    let client_task = tasks.client_task.clone();
+    branch.add("calls to daemons", move || {
+        client_task
+            .clone()
+            .run()
+            .map(|()| Err(TaskError::new("calls to daemons", &"ended")))
+    });
+    let serve: Arc<dyn Serve> = Arc::new(Arc::clone(node));
+    branch.add("calls from daemons", move || {
+        server::listen(listen.calls_addr, Arc::clone(&serve))
+            .map(|ended| named("calls from daemons", ended))
+    });
     let worker = Arc::clone(node);
     branch.add("announce", move || {
         announce::listen(listen.worker_addr, Arc::clone(&worker))
@@ -106,10 +116,11 @@
         Arc::clone(&tasks.fleet),
         tasks.gossip.clone(),
     );
-    branch.add("gossip", move || sync::gossip(gossip.clone()));
+    let socket = gossip.clone();
+    branch.add("gossip", move || sync::gossip(socket.clone()));
     let (publisher, view) = (Arc::clone(&node), Arc::clone(&fleet));
     branch.add("publish", move || {
-        sync::publish(Arc::clone(&publisher), Arc::clone(&view))
+        sync::publish(Arc::clone(&publisher), Arc::clone(&view), gossip.clone())
     });
     let (follower, view) = (Arc::clone(&node), Arc::clone(&fleet));
     branch.add("follow", move || {
@@ -153,12 +164,9 @@
         tasks.directory.sweep(now.us);
         tasks.node.edge_paths.lock().expire(now.us);
         tasks.node.nested_paths.lock().expire(now.us);
-        tasks
-            .node
-            .local
-            .lock()
-            .once
-            .sweep(now.unix_ms, SWEEP_RECORDS);
+        let mut local = tasks.node.local.lock();
+        local.once.sweep(now.unix_ms, SWEEP_RECORDS);
+        local.suspects.sweep(now.unix_ms);
     }
 }
 
--- a/tests/ingress/world.rs
+++ b/tests/ingress/world.rs
@@ -100,7 +100,7 @@
         };
         let addr = free_addr();
         let ingress = Ingress::new(Arc::clone(&fake) as _, Arc::clone(&metrics), limits);
-        task::spawn(ingress.listen(addr));
+        thread::spawn(move || task::block_on(ingress.listen(addr)));
         let world = Self {
             addr,
             fake,
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -102,13 +102,18 @@
 /// Serves calls on a thread of their own.
 fn serve() -> (SocketAddr, Arc<Fake>) {
     let fake = Arc::new(Fake::default());
-    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
-    let addr = listener.local_addr().unwrap();
+    let addr = free_addr();
     let serve = Arc::clone(&fake);
-    thread::spawn(move || task::block_on(server::listen(listener, serve)));
+    thread::spawn(move || task::block_on(server::listen(addr, serve)));
+    until(|| std::net::TcpStream::connect(addr).is_ok());
     (addr, fake)
 }
 
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
 fn connect() -> Client {
     let (client, task) = client::client(IpAddr::V4(Ipv4Addr::LOCALHOST));
     thread::spawn(move || task::block_on(task.run()));
@@ -212,9 +217,7 @@
 
 #[test]
 fn a_refused_connection_has_not_run_the_call() {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = free.local_addr().unwrap();
-    drop(free);
+    let addr = free_addr();
     let client = connect();
     for _ in 0..2 {
         let error = exchange(&client, addr, call("echo", b"")).unwrap_err();
--- a/tests/supervisor.rs
+++ b/tests/supervisor.rs
@@ -109,12 +109,14 @@
         task::sleep(Duration::from_millis(1)).await;
         Err(TaskError::new("failing", &"out of order"))
     });
-    let running = task::spawn(parent.run());
-    while metrics.get("task.restart") < 10 {
-        std::thread::sleep(Duration::from_millis(1));
-    }
+    task::block_on(async {
+        let running = task::spawn_local(parent.run());
+        while metrics.get("task.restart") < 10 {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        running.cancel().await;
+    });
     assert_eq!(metrics.get("task.given_up"), 0);
-    task::block_on(running.cancel());
 }
 
 #[test]
