--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -231,7 +231,10 @@
     /// Announces a digest of suspect requests to every live member at once.
     pub fn tell_suspects(&mut self, suspects: Vec<u8>, out: &mut Vec<Send>) {
         self.set_suspects(suspects);
-        let live = self.peers.values().filter(|peer| peer.member.status.is_live());
+        let live = self
+            .peers
+            .values()
+            .filter(|peer| peer.member.status.is_live());
         let addrs: Vec<_> = live.map(|peer| peer.member.place.gossip_addr).collect();
         for to in addrs {
             let mut message = self.message(Body::News);
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -4,18 +4,19 @@
     crate::{
         backend::end_to_end,
         call::{Answer, Request},
+        connection::{End, hang_up, linger, refuse, serve},
+        framed::Framed,
         metrics::Metrics,
         policy::suspect::Fingerprint,
         request::{Outcome, Reason, Refusal, RequestId},
         settings::Limits,
         spawn::spawn,
     },
-    async_h1::server::{ConnectionStatus, Server},
     async_io::Timer,
     async_std::net::{TcpListener, TcpStream},
     async_trait::async_trait,
     futures::{
-        AsyncReadExt, AsyncWriteExt, FutureExt,
+        AsyncReadExt, FutureExt,
         future::{Either, select},
     },
     http_types::headers,
@@ -27,7 +28,7 @@
         pin::pin,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -36,12 +37,17 @@
 /// Path under which the daemon itself answers callers.
 const TICKETS_PATH: &str = "/.shallotdeal/tickets/:service";
 
-/// Answer to bytes that are no HTTP/1.1 request.
-const MALFORMED: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\
-request-outcome: not-run\r\nrequest-reason: bad-request\r\n\r\n";
+/// Connections over the limit that are told so at one time; more are closed without an answer.
+const MAX_TURNED_AWAY: usize = 64;
 
-/// Time for a client to read the answer to bytes that are no request.
-const LINGER_MS: u64 = 200;
+/// Advice to a caller whose connection was over the limit.
+const TURNED_AWAY_RETRY_AFTER_MS: u32 = 1_000;
+
+/// Wait after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 100;
+
+/// Failures to accept in a row after which the listener is given up.
+const MAX_ACCEPT_FAILURES: u32 = 100;
 
 /// Who sent a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -114,11 +120,9 @@
     metrics: Arc<Metrics>,
     limits: Limits,
     connections: AtomicUsize,
+    turned_away: AtomicUsize,
 }
 
-/// Connection that a request came over.
-struct Connection(TcpStream);
-
 type App = tide::Server<Arc<Ingress>>;
 
 impl Ingress {
@@ -129,6 +133,7 @@
             metrics,
             limits,
             connections: AtomicUsize::new(0),
+            turned_away: AtomicUsize::new(0),
         })
     }
 
@@ -142,56 +147,121 @@
         let mut app = tide::with_state(Arc::clone(&self));
         app.at(TICKETS_PATH).post(ticket);
         app.at("/:service").all(pass);
+        app.at("/:service/").all(pass);
         app.at("/:service/*").all(pass);
+        app.at("/").all(pass);
+        app.at("/*").all(pass);
+        let mut failures = 0;
         loop {
-            let (stream, _) = listener.accept().await?;
-            if self.connections.load(Ordering::Relaxed) >= self.limits.max_connections {
-                self.metrics.count("ingress.connection_refused");
-                continue;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    failures = 0;
+                    self.accepted(stream, &app);
+                }
+                Err(error) if failures >= MAX_ACCEPT_FAILURES => return Err(error),
+                Err(_) => {
+                    failures += 1;
+                    self.metrics.count("ingress.accept_failed");
+                    Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                }
             }
+        }
+    }
+
+    fn accepted(self: &Arc<Self>, stream: TcpStream, app: &App) {
+        if self.connections.load(Ordering::Relaxed) < self.limits.max_connections {
             self.connections.fetch_add(1, Ordering::Relaxed);
-            spawn("connection", Arc::clone(&self).connection(stream, app.clone()));
+            spawn(
+                "connection",
+                Arc::clone(self).connection(stream, app.clone()),
+            );
+            return;
         }
+        self.metrics.count("ingress.connection_refused");
+        if self.turned_away.load(Ordering::Relaxed) < MAX_TURNED_AWAY {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+            spawn("turn away", Arc::clone(self).turn_away(stream));
+        }
+    }
+
+    async fn turn_away(self: Arc<Self>, stream: TcpStream) {
+        let refusal = Refusal::not_run(Reason::Overload);
+        refuse(stream, refusal.retry_after_ms(TURNED_AWAY_RETRY_AFTER_MS)).await;
+        self.turned_away.fetch_sub(1, Ordering::Relaxed);
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream, app: App) {
         let _ = stream.set_nodelay(true);
-        let serving = AssertUnwindSafe(serve(&stream, &app, self.limits.read_timeout_ms));
+        let framed = Framed::new(stream.clone());
+        let serving = AssertUnwindSafe(serve(&framed, &app, self.limits.read_timeout_ms));
         match serving.catch_unwind().await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => {
+            Ok(End::Clean) => linger(stream).await,
+            Ok(End::Malformed) => {
                 self.metrics.count("ingress.malformed");
-                refuse_malformed(stream).await;
+                refuse(stream, Refusal::not_run(Reason::BadRequest)).await;
             }
+            Ok(End::HeadOverdue) => {
+                self.metrics.count("ingress.head_overdue");
+                refuse(stream, Refusal::not_run(Reason::BadRequest)).await;
+            }
+            Ok(End::AnswerStalled) => self.metrics.count("ingress.answer_stalled"),
             Err(_) => self.metrics.count("ingress.panicked"),
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
 
     async fn answer(&self, mut request: tide::Request<Arc<Self>>) -> tide::Response {
-        let connection = request.ext::<Arc<Connection>>().cloned();
-        let incoming = match self.incoming(&mut request).await {
-            Ok(incoming) => incoming,
-            Err(refusal) => return self.refused(refusal),
-        };
-        let request_id = incoming.request_id;
-        let work = pin!(self.handle.handle(incoming));
-        let result = match connection {
-            Some(connection) => match select(work, pin!(hang_up(&connection.0))).await {
-                Either::Left((result, _)) => result,
-                Either::Right(_) => Err(Refusal::unknown(Reason::Cancelled)),
-            },
-            None => work.await,
+        let (request_id, result) = match request_id(&request) {
+            Ok(own_id) => {
+                let request_id = own_id.unwrap_or_else(new_request_id);
+                let result = self
+                    .result(&mut request, request_id, own_id.is_some())
+                    .await;
+                (request_id, result)
+            }
+            Err(refusal) => (new_request_id(), Err(refusal)),
         };
         let mut response = match result {
             Ok(answer) => self.done(&answer),
             Err(refusal) => self.refused(refusal),
         };
+        if response.header(headers::CONNECTION).is_some()
+            && let Some(framed) = request.ext::<Framed>()
+        {
+            framed.end_input();
+        }
         response.insert_header("request-id", request_id.to_string());
         response
     }
 
-    async fn incoming(&self, request: &mut tide::Request<Arc<Self>>) -> Result<Incoming, Refusal> {
+    async fn result(
+        &self,
+        request: &mut tide::Request<Arc<Self>>,
+        request_id: RequestId,
+        has_own_id: bool,
+    ) -> Result<Arc<Answer>, Refusal> {
+        let framed = request.ext::<Framed>().cloned();
+        let incoming = self.incoming(request, request_id, has_own_id).await?;
+        let handling = AssertUnwindSafe(self.handle.handle(incoming)).catch_unwind();
+        let ended = match framed {
+            Some(framed) => match select(pin!(handling), pin!(hang_up(framed.stream()))).await {
+                Either::Left((ended, _)) => ended,
+                Either::Right(_) => return Err(Refusal::unknown(Reason::Cancelled)),
+            },
+            None => handling.await,
+        };
+        ended.unwrap_or_else(|_| {
+            self.metrics.count("ingress.panicked");
+            Err(Refusal::unknown(Reason::Internal))
+        })
+    }
+
+    async fn incoming(
+        &self,
+        request: &mut tide::Request<Arc<Self>>,
+        request_id: RequestId,
+        has_own_id: bool,
+    ) -> Result<Incoming, Refusal> {
         let body = self.body(request).await?;
         let service = request.param("service").unwrap_or_default().to_smolstr();
         let url = request.url();
@@ -206,7 +276,6 @@
             Some(call_id) => Origin::Nested(call_id),
             None => Origin::Caller(caller_ip(request)),
         };
-        let own_id = parsed(request, "request-id", parse_request_id)?;
         let inner: &http_types::Request = request.as_ref();
         Ok(Incoming {
             origin,
@@ -217,8 +286,8 @@
                 headers: end_to_end(inner),
                 body,
             },
-            request_id: own_id.unwrap_or_else(|| RequestId(rand::random())),
-            has_own_id: own_id.is_some(),
+            request_id,
+            has_own_id,
             class: text(request, "request-class"),
             timeout_ms: parsed(request, "request-timeout", |text| text.parse().ok())?,
             attempt: parsed(request, "request-attempt", |text| text.parse().ok())?.unwrap_or(0),
@@ -229,6 +298,9 @@
     }
 
     async fn body(&self, request: &mut tide::Request<Arc<Self>>) -> Result<Vec<u8>, Refusal> {
+        if !has_clear_length(request) {
+            return Err(Refusal::not_run(Reason::BadRequest));
+        }
         let expected_bytes = request.len();
         let limit_bytes = self.limits.max_body_bytes;
         if expected_bytes.is_some_and(|expected| expected > limit_bytes) {
@@ -278,54 +350,6 @@
     }
 }
 
-async fn serve(stream: &TcpStream, app: &App, read_timeout_ms: u64) -> http_types::Result<()> {
-    let peer = stream.peer_addr().ok();
-    let connection = Arc::new(Connection(stream.clone()));
-    let has_head = Arc::new(AtomicBool::new(false));
-    let endpoint = |mut request: http_types::Request| {
-        has_head.store(true, Ordering::Relaxed);
-        request.set_peer_addr(peer);
-        request.ext_mut().insert(Arc::clone(&connection));
-        let app = app.clone();
-        async move { app.respond(request).await }
-    };
-    let mut server = Server::new(stream.clone(), endpoint);
-    loop {
-        has_head.store(false, Ordering::Relaxed);
-        let overdue = pin!(head_overdue(&has_head, read_timeout_ms));
-        match select(pin!(server.accept_one()), overdue).await {
-            Either::Left((Ok(ConnectionStatus::KeepAlive), _)) => {}
-            Either::Left((Err(error), _)) => return Err(error),
-            _ => return Ok(()),
-        }
-    }
-}
-
-/// Ends when a request's head is not there in time; never ends otherwise.
-async fn head_overdue(has_head: &AtomicBool, read_timeout_ms: u64) {
-    Timer::after(Duration::from_millis(read_timeout_ms)).await;
-    if has_head.load(Ordering::Relaxed) {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn refuse_malformed(mut stream: TcpStream) {
-    let _ = stream.write_all(MALFORMED).await;
-    let _ = stream.shutdown(std::net::Shutdown::Write);
-    let mut rest = [0; 4_096];
-    let drain = pin!(async { while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {} });
-    select(drain, Timer::after(Duration::from_millis(LINGER_MS))).await;
-}
-
-/// Waits until the other side has closed the connection.
-async fn hang_up(stream: &TcpStream) {
-    let mut byte = [0];
-    match stream.peek(&mut byte).await {
-        Ok(0) | Err(_) => {}
-        Ok(_) => std::future::pending().await,
-    }
-}
-
 async fn pass(request: tide::Request<Arc<Ingress>>) -> tide::Result {
     let ingress = Arc::clone(request.state());
     Ok(ingress.answer(request).await)
@@ -335,14 +359,35 @@
     let ingress = Arc::clone(request.state());
     let service = request.param("service").unwrap_or_default().to_smolstr();
     let minted = ingress.handle.ticket(service).await;
-    Ok(match minted {
+    let mut response = match minted {
         Ok(ticket) => {
             let mut response = tide::Response::new(tide::StatusCode::Created);
             response.insert_header("request-ticket", ticket.as_str());
             response
         }
         Err(refusal) => ingress.refused(refusal),
-    })
+    };
+    response.insert_header("request-id", new_request_id().to_string());
+    Ok(response)
+}
+
+/// Tells whether a request says in one way only where its body ends.
+fn has_clear_length(request: &tide::Request<Arc<Ingress>>) -> bool {
+    let lengths = request.header(headers::CONTENT_LENGTH);
+    let is_single = lengths.is_none_or(|lengths| lengths.iter().count() == 1);
+    let codings = request.header(headers::TRANSFER_ENCODING);
+    let is_chunked = codings.is_none_or(|codings| {
+        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked")
+    });
+    is_single && is_chunked
+}
+
+fn request_id(request: &tide::Request<Arc<Ingress>>) -> Result<Option<RequestId>, Refusal> {
+    parsed(request, "request-id", parse_request_id)
+}
+
+pub(crate) fn new_request_id() -> RequestId {
+    RequestId(rand::random())
 }
 
 fn caller_ip(request: &tide::Request<Arc<Ingress>>) -> IpAddr {
@@ -376,7 +421,7 @@
         .flatten()
 }
 
-fn status_of(refusal: Refusal) -> tide::StatusCode {
+pub(crate) fn status_of(refusal: Refusal) -> tide::StatusCode {
     use tide::StatusCode;
     match (refusal.outcome, refusal.reason) {
         (_, Reason::BadRequest) => StatusCode::BadRequest,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -154,7 +154,10 @@
         let mut local = self.local.lock();
         local.gate.set_rules(rules.gate);
         // An older release from quarantine does not cover later deaths.
-        let lifted = config.lifted.iter().filter(|(_, revision)| **revision > earlier);
+        let lifted = config
+            .lifted
+            .iter()
+            .filter(|(_, revision)| **revision > earlier);
         for (text, _) in lifted {
             if let Ok(fingerprint) = Fingerprint::try_from(text.as_str()) {
                 local.suspects.lift(fingerprint);
@@ -198,7 +201,9 @@
         let now_us = self.clock.now_us();
         let mut local = self.local.lock();
         let report = local.suspects.report();
-        let changes = report.changes().saturating_sub(published.suspects.changes()) as usize;
+        let changes = report
+            .changes()
+            .saturating_sub(published.suspects.changes()) as usize;
         let is_due = now_us.saturating_sub(published.suspects_us) >= SUSPECTS_MS * 1_000;
         let turns = usize::from(is_due && report.entries > 0);
         published.suspects = report;
@@ -217,7 +222,9 @@
         if heard.is_empty() {
             return;
         }
-        let deaths = heard.iter().filter_map(|bytes| postcard::from_bytes::<Vec<Death>>(bytes).ok());
+        let deaths = heard
+            .iter()
+            .filter_map(|bytes| postcard::from_bytes::<Vec<Death>>(bytes).ok());
         let mut local = self.local.lock();
         local.suspects.merge(deaths.flatten());
     }
