--- /dev/null
+++ b/lab/src/capacity.rs
@@ -0,0 +1,110 @@
+//! What the planned size asks of each role, worked out from measured slopes.
+
+pub mod bounds;
+pub mod daemon;
+pub mod failures;
+pub mod link;
+pub mod page;
+pub mod roles;
+pub mod store;
+
+/// Seconds of a day.
+pub const S_PER_DAY: f64 = 86_400.0;
+
+/// Size that is planned for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Daemons, each with its worker.
+    pub daemons: f64,
+    /// Services.
+    pub services: f64,
+    /// Calls a second, nested ones included.
+    pub calls_per_s: f64,
+    /// Longest chain of calls.
+    pub depth: f64,
+    /// Data centres of each region.
+    pub regions: Vec<f64>,
+    /// Changes of the configuration in a day.
+    pub changes_per_day: f64,
+    /// VMs that fail in a day.
+    pub failures_per_day: f64,
+    /// VMs restarted or replaced in a day.
+    pub replaced_per_day: f64,
+    /// VMs of a rack; the plan does not tell.
+    pub rack: f64,
+    /// Time of a call at its backend server; the plan does not tell.
+    pub call_ms: f64,
+}
+
+impl Plan {
+    /// The size planned for two years.
+    pub fn planned() -> Self {
+        Self {
+            daemons: 1_500.0,
+            services: 160.0,
+            calls_per_s: 160_000.0,
+            depth: 29.0,
+            regions: vec![3.0, 3.0, 2.0, 2.0],
+            changes_per_day: 2_900.0,
+            failures_per_day: 5.0,
+            replaced_per_day: 370.0,
+            rack: 20.0,
+            call_ms: 50.0,
+        }
+    }
+
+    /// Twice the daemons, services, calls and changes in the same data centres.
+    pub fn doubled() -> Self {
+        let plan = Self::planned();
+        Self {
+            daemons: plan.daemons * 2.0,
+            services: plan.services * 2.0,
+            calls_per_s: plan.calls_per_s * 2.0,
+            changes_per_day: plan.changes_per_day * 2.0,
+            failures_per_day: plan.failures_per_day * 2.0,
+            replaced_per_day: plan.replaced_per_day * 2.0,
+            ..plan
+        }
+    }
+
+    /// Data centres.
+    pub fn data_centres(&self) -> f64 {
+        self.regions.iter().sum()
+    }
+
+    /// Daemons of one data centre.
+    pub fn members(&self) -> f64 {
+        self.daemons / self.data_centres()
+    }
+
+    /// Services that one data centre runs: no more than it has workers.
+    pub fn services_of_centre(&self) -> f64 {
+        self.services.min(self.members())
+    }
+
+    /// Summaries that a daemon holds of other data centres.
+    pub fn summaries(&self) -> f64 {
+        self.services_of_centre() * (self.data_centres() - 1.0)
+    }
+
+    /// Calls a second of one daemon as ingress, and as many as gate.
+    pub fn calls_of_daemon(&self) -> f64 {
+        self.calls_per_s / self.daemons
+    }
+
+    /// Changes of the configuration in a second.
+    pub fn changes_per_s(&self) -> f64 {
+        self.changes_per_day / S_PER_DAY
+    }
+
+    /// Calls under way at one worker.
+    pub fn in_flight(&self) -> f64 {
+        self.calls_of_daemon() * self.call_ms / 1_000.0
+    }
+
+    /// Ordered pairs of data centres in different regions.
+    pub fn region_pairs(&self) -> f64 {
+        let all = self.data_centres();
+        self.regions.iter().map(|own| own * (all - own)).sum()
+    }
+}
--- /dev/null
+++ b/lab/src/capacity/page.rs
@@ -0,0 +1,130 @@
+//! Tables of the capacity page, between markers.
+
+use {
+    crate::{
+        capacity::{bounds, failures, roles, store},
+        slopes::{Slopes, SlopesError},
+    },
+    std::fmt::Write,
+};
+
+const OPEN: &str = "<!-- table: ";
+const OPEN_END: &str = " -->\n";
+const CLOSE: &str = "<!-- end -->";
+
+/// Rows of one table, the first one its head.
+pub type Rows = Vec<Vec<String>>;
+
+/// Page with its tables made from these slopes.
+pub fn fill(page: &str, slopes: &Slopes) -> Result<String, SlopesError> {
+    let mut filled = String::new();
+    let mut rest = page;
+    while let Some((before, after)) = rest.split_once(OPEN) {
+        let open = || SlopesError::new("read marker", &"a table has no end");
+        let (name, after) = after.split_once(OPEN_END).ok_or_else(open)?;
+        let (_, after) = after.split_once(CLOSE).ok_or_else(open)?;
+        let text = text(&table(name, slopes)?);
+        write!(filled, "{before}{OPEN}{name}{OPEN_END}\n{text}\n{CLOSE}").ok();
+        rest = after;
+    }
+    filled.push_str(rest);
+    Ok(filled)
+}
+
+fn table(name: &str, slopes: &Slopes) -> Result<Rows, SlopesError> {
+    match name {
+        "run" => Ok(run(slopes)),
+        "slopes" => Ok(measured(slopes)),
+        "roles" => roles::rows(slopes),
+        "bounds" => bounds::rows(slopes),
+        "store" => Ok(store::rows()),
+        "link" => bounds::link_rows(slopes),
+        "failures" => failures::rows(slopes),
+        other => Err(SlopesError::new("find table", &other)),
+    }
+}
+
+fn text(rows: &Rows) -> String {
+    let mut text = String::new();
+    for (number, row) in rows.iter().enumerate() {
+        writeln!(text, "| {} |", row.join(" | ")).ok();
+        if number == 0 {
+            writeln!(text, "|{}", "---|".repeat(row.len())).ok();
+        }
+    }
+    text
+}
+
+/// Row of texts.
+pub fn row<const N: usize>(cells: [&str; N]) -> Vec<String> {
+    cells.map(str::to_owned).to_vec()
+}
+
+/// Number with the digits that its size deserves.
+pub fn number(value: f64) -> String {
+    let digits = match value.abs() {
+        size if size >= 100.0 => 0,
+        size if size >= 10.0 => 1,
+        _ => 2,
+    };
+    let text = format!("{value:.digits$}");
+    let (whole, part) = text.split_once('.').unwrap_or((&text, ""));
+    let (sign, whole) = whole.strip_prefix('-').map_or(("", whole), |it| ("-", it));
+    let mut grouped = String::new();
+    for (at, digit) in whole.chars().enumerate() {
+        if at > 0 && (whole.len() - at).is_multiple_of(3) {
+            grouped.push(',');
+        }
+        grouped.push(digit);
+    }
+    if part.is_empty() {
+        return format!("{sign}{grouped}");
+    }
+    format!("{sign}{grouped}.{part}")
+}
+
+/// Megabytes.
+pub fn megabytes(bytes: f64) -> String {
+    number(bytes / 1e6)
+}
+
+fn run(slopes: &Slopes) -> Rows {
+    vec![
+        row(["measured by", "machine"]),
+        row([&format!("`{}`", slopes.command), &slopes.machine]),
+    ]
+}
+
+fn measured(slopes: &Slopes) -> Rows {
+    let mut rows = vec![row([
+        "series",
+        "grows with",
+        "unit",
+        "measured (size: value)",
+        "at zero",
+        "each more",
+        "spread",
+    ])];
+    for (name, series) in &slopes.series {
+        let points = series.points.iter();
+        let points: Vec<_> = points
+            .map(|(at, value)| {
+                format!(
+                    "{}: {}",
+                    number(at.round()).trim_end_matches(".00"),
+                    number(*value)
+                )
+            })
+            .collect();
+        rows.push(row([
+            name,
+            &series.along,
+            &series.unit,
+            &points.join("; "),
+            &number(series.fit.base),
+            &format!("{:.3}", series.fit.slope),
+            &format!("{:.0} %", series.fit.spread_percent),
+        ]));
+    }
+    rows
+}
--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -2,8 +2,10 @@
 
 mod backend;
 mod call;
+mod capacity;
 mod overhead;
 mod run;
+mod slopes;
 
 use {
     std::{net::SocketAddr, path::PathBuf, process::ExitCode},
@@ -81,6 +83,28 @@
             /// Print JSON.
             optional --json
         }
+        /// Measures what grows with the fleet and its load, and writes the data file.
+        cmd slopes {
+            /// Data file; `docs/capacity/slopes.json` by default.
+            optional --out file: PathBuf
+            /// Binary of the daemon; beside this one by default.
+            optional --daemon file: PathBuf
+            /// Second part of the IP numbers that are used.
+            optional --net number: u8
+            /// Print the bytes of one kind of state and do nothing else.
+            optional --state kind: String
+            /// Records of that state.
+            optional --count count: u64
+        }
+        /// Writes the tables of the capacity page from the data file.
+        cmd capacity {
+            /// Data file; `docs/capacity/slopes.json` by default.
+            optional --data file: PathBuf
+            /// Page; `docs/CAPACITY.md` by default.
+            optional --page file: PathBuf
+            /// Change nothing; fail if the page is not up to date.
+            optional --check
+        }
     }
 }
 
@@ -92,6 +116,8 @@
         LabCmd::Call(flags) => call::run(&flags),
         LabCmd::Run(flags) => run::run(&flags),
         LabCmd::Overhead(flags) => overhead::run(&flags),
+        LabCmd::Slopes(flags) => slopes::run(&flags),
+        LabCmd::Capacity(flags) => capacity::run(&flags),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/lab/src/cmd/capacity.rs
@@ -0,0 +1,28 @@
+//! `lab capacity`.
+
+use {
+    crate::cmd,
+    lab::{
+        capacity::page,
+        slopes::{Slopes, SlopesError},
+    },
+    std::{error::Error, fs, path::Path},
+};
+
+const DEFAULT_DATA: &str = "docs/capacity/slopes.json";
+const DEFAULT_PAGE: &str = "docs/CAPACITY.md";
+
+/// Writes the tables of the page anew, or checks that they need not be.
+pub(super) fn run(flags: &cmd::Capacity) -> Result<(), Box<dyn Error>> {
+    let data = flags.data.as_deref().unwrap_or(Path::new(DEFAULT_DATA));
+    let path = flags.page.as_deref().unwrap_or(Path::new(DEFAULT_PAGE));
+    let old = fs::read_to_string(path)?;
+    let new = page::fill(&old, &Slopes::read(data)?)?;
+    if flags.check && new != old {
+        return Err(SlopesError::new("check page", &"its tables are not those of the data").into());
+    }
+    if new != old {
+        fs::write(path, new)?;
+    }
+    Ok(())
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod capacity;
 pub mod client;
 pub mod forward;
 pub mod history;
@@ -17,5 +18,6 @@
 pub mod report;
 pub mod round;
 pub mod scenario;
+pub mod slopes;
 pub mod summary;
 pub mod wire;
--- /dev/null
+++ b/lab/src/slopes/daemons.rs
@@ -0,0 +1,301 @@
+//! Processor time and memory of real daemon processes on loopback.
+
+use {
+    crate::{
+        caller::Errand,
+        client::Client,
+        platform::Platform,
+        process::Process,
+        scenario::{Resend, Scenario},
+        slopes::{Series, Slopes, SlopesError},
+        wire::{
+            BACKEND_PORT, CALLERS_PORT, CALLS_PORT, DaemonSettings, GOSSIP_PORT, OPERATORS_PORT,
+            WORKER_PORT, statements,
+        },
+    },
+    async_std::task,
+    http_types::Method,
+    smol_str::format_smolstr,
+    std::{
+        ffi::OsString,
+        fs,
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        sync::{Arc, mpsc},
+        time::{Duration, Instant},
+    },
+};
+
+/// Sizes of the fleets.
+const FLEETS: [u8; 3] = [5, 20, 40];
+/// Calls a second.
+const RATES: [u32; 4] = [50, 100, 200, 400];
+/// Open connections of callers.
+const CONNECTIONS: [usize; 3] = [0, 500, 1_000];
+const CONNECTIONS_PER_SOURCE: usize = 250;
+/// Time for a fleet to form before it is measured.
+const FORM: Duration = Duration::from_secs(6);
+const IDLE: Duration = Duration::from_secs(12);
+const LOAD: Duration = Duration::from_secs(5);
+const BOOT_LIMIT: Duration = Duration::from_secs(15);
+const STEP: Duration = Duration::from_millis(100);
+const ASK_WAIT: Duration = Duration::from_secs(12);
+const SEEDS: usize = 2;
+const STORE_PORT: u16 = 7_100;
+const MS_TO_US: f64 = 1_000.0;
+
+/// What is needed to start daemons.
+#[derive(Debug, Clone)]
+pub struct Bench {
+    /// Binary of the daemon.
+    pub daemon: PathBuf,
+    /// The lab's own binary.
+    pub lab: PathBuf,
+    /// Scenario whose first service is called.
+    pub file: PathBuf,
+    /// Directory for settings and logs.
+    pub directory: PathBuf,
+    /// Second part of the IP numbers.
+    pub net: u8,
+}
+
+/// Daemons that run.
+struct Daemons {
+    processes: Vec<Process>,
+    settings: Vec<DaemonSettings>,
+}
+
+/// Measures fleets at rest, open connections and calls.
+pub async fn measure(bench: &Bench, slopes: &mut Slopes) -> Result<(), SlopesError> {
+    at_rest(bench, slopes).await?;
+    with_connections(bench, slopes).await?;
+    with_calls(bench, slopes).await
+}
+
+async fn at_rest(bench: &Bench, slopes: &mut Slopes) -> Result<(), SlopesError> {
+    let (mut cpu, mut memory, mut calls) = (Vec::new(), Vec::new(), Vec::new());
+    for (number, size) in FLEETS.into_iter().enumerate() {
+        let store = SocketAddr::from((bench.ip(number as u8, 250), STORE_PORT));
+        let running = Platform::new()
+            .serve(store)
+            .await
+            .map_err(|error| SlopesError::new("start store", &error))?;
+        let fleet = bench.start(number as u8, size, Some(store)).await?;
+        task::sleep(FORM).await;
+        let (before_ms, before) = (fleet.processor_ms(), store_calls(&running.platform));
+        let start = Instant::now();
+        task::sleep(IDLE).await;
+        let seconds = start.elapsed().as_secs_f64();
+        let at = f64::from(size);
+        let used_us = (fleet.processor_ms() - before_ms) * MS_TO_US;
+        cpu.push((at, used_us / seconds / at));
+        memory.push((at, fleet.resident_bytes()));
+        calls.push((at, (store_calls(&running.platform) - before) / seconds));
+        drop(fleet);
+        running.task.cancel().await;
+    }
+    slopes.add("idle-cpu", Series::new("members", "us/s", cpu));
+    slopes.add("idle-memory", Series::new("members", "B", memory));
+    slopes.add("idle-store", Series::new("members", "calls/s", calls));
+    Ok(())
+}
+
+async fn with_connections(bench: &Bench, slopes: &mut Slopes) -> Result<(), SlopesError> {
+    let fleet = bench.start(8, 1, None).await?;
+    let mut held = Vec::new();
+    let mut memory = Vec::new();
+    for wanted in CONNECTIONS {
+        while held.len() * CONNECTIONS_PER_SOURCE < wanted {
+            let source = Ipv4Addr::new(127, bench.net, 200, held.len() as u8 + 1);
+            let client = Client::new(fleet.settings[0].callers).from_source(source);
+            client.warm(CONNECTIONS_PER_SOURCE).await;
+            held.push(client);
+        }
+        task::sleep(Duration::from_secs(1)).await;
+        let open: usize = held.iter().map(Client::idle).sum();
+        memory.push((open as f64, fleet.resident_bytes()));
+    }
+    slopes.add("connection-memory", Series::new("connections", "B", memory));
+    Ok(())
+}
+
+/// Calls through the worker's own daemon alone, and through another daemon before it.
+async fn with_calls(bench: &Bench, slopes: &mut Slopes) -> Result<(), SlopesError> {
+    let scenario =
+        Scenario::read(&bench.file).map_err(|error| SlopesError::new("read scenario", &error))?;
+    let fleet = bench.start(9, 2, None).await?;
+    let _backend = bench.start_backend(&fleet.settings[0], &scenario)?;
+    let text = statements(&scenario);
+    for settings in &fleet.settings {
+        ask(settings.operators, &text).await?;
+    }
+    task::sleep(FORM).await;
+    for (name, entry) in [("calls-one", 0), ("calls-two", 1)] {
+        let clients = Arc::new(vec![Client::new(fleet.settings[entry].callers)]);
+        let (mut cpu, mut failed) = (Vec::new(), Vec::new());
+        for rate in RATES {
+            let before_ms = fleet.processor_ms();
+            let start = Instant::now();
+            let bad = load(&scenario, &clients, rate).await;
+            let seconds = start.elapsed().as_secs_f64();
+            let used_us = (fleet.processor_ms() - before_ms) * MS_TO_US;
+            cpu.push((f64::from(rate), used_us / seconds));
+            failed.push((f64::from(rate), bad as f64));
+        }
+        slopes.add(name, Series::new("calls/s", "us/s", cpu));
+        let name = format!("{name}-failed");
+        slopes.add(&name, Series::new("calls/s", "calls", failed));
+    }
+    Ok(())
+}
+
+/// Sends calls at a rate; tells how many did not end well.
+async fn load(scenario: &Scenario, clients: &Arc<Vec<Client>>, rate: u32) -> usize {
+    let mut calls = Vec::new();
+    let mut due = Instant::now();
+    for number in 0..rate * LOAD.as_secs() as u32 {
+        due += Duration::from_secs(1) / rate;
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        let errand = Errand {
+            load: 0,
+            id: u128::from(number) << 64 | u128::from(rate),
+            call: scenario.loads[0].call.clone(),
+            class: scenario.classes[0].clone(),
+            resend: Resend::Polite(0),
+            body: "{}",
+            tickets: false,
+            source: 0,
+            daemons: vec![0],
+        };
+        let clients = Arc::clone(clients);
+        calls.push(task::spawn(async move { errand.run(&clients).await.good }));
+    }
+    let mut bad = 0;
+    for call in calls {
+        bad += usize::from(!call.await);
+    }
+    bad
+}
+
+async fn ask(operators: SocketAddr, text: &str) -> Result<(), SlopesError> {
+    let client = Client::new(operators);
+    let mut request = client.request(Method::Post, "/ask");
+    request.set_body(text);
+    match client.send_within(request, ASK_WAIT).await {
+        Some(Ok(_)) => Ok(()),
+        Some(Err(error)) => Err(SlopesError::new("configure", &error)),
+        None => Err(SlopesError::new("configure", &"no answer in time")),
+    }
+}
+
+fn store_calls(platform: &Platform) -> f64 {
+    platform.report().counts.calls.values().sum::<u64>() as f64
+}
+
+impl Bench {
+    fn ip(&self, fleet: u8, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, fleet, host)
+    }
+
+    async fn start(
+        &self,
+        fleet: u8,
+        size: u8,
+        store: Option<SocketAddr>,
+    ) -> Result<Daemons, SlopesError> {
+        let mut daemons = Daemons {
+            processes: Vec::new(),
+            settings: Vec::new(),
+        };
+        for host in 0..size {
+            let settings = self.settings(fleet, host + 1, store);
+            daemons.processes.push(self.start_daemon(&settings)?);
+            daemons.settings.push(settings);
+        }
+        for settings in &daemons.settings {
+            wait_for(settings).await?;
+        }
+        Ok(daemons)
+    }
+
+    fn settings(&self, fleet: u8, host: u8, store: Option<SocketAddr>) -> DaemonSettings {
+        let ip = self.ip(fleet, host);
+        let at = |port| SocketAddr::from((ip, port));
+        let seeds = (1..=SEEDS as u8).map(|seed| (self.ip(fleet, seed), GOSSIP_PORT).into());
+        DaemonSettings {
+            name: format_smolstr!("d-{fleet}-{host}"),
+            region: "ost".into(),
+            data_centre: "wien".into(),
+            callers: at(CALLERS_PORT),
+            calls: at(CALLS_PORT),
+            gossip: at(GOSSIP_PORT),
+            operators: at(OPERATORS_PORT),
+            worker: at(WORKER_PORT),
+            advertised: None,
+            seeds: seeds.collect(),
+            store,
+            baseline: false,
+        }
+    }
+
+    fn start_daemon(&self, settings: &DaemonSettings) -> Result<Process, SlopesError> {
+        let file = self.directory.join(format!("{}.ini", settings.name));
+        fs::write(&file, settings.ini()).map_err(|error| SlopesError::new("settings", &error))?;
+        let arguments = ["daemon".into(), "--config".into(), file.into()];
+        let log = self.directory.join(format!("{}.log", settings.name));
+        Process::with_log(&settings.name, &self.daemon, &arguments, &log)
+            .map_err(|error| SlopesError::new("start daemon", &error))
+    }
+
+    fn start_backend(
+        &self,
+        settings: &DaemonSettings,
+        scenario: &Scenario,
+    ) -> Result<Process, SlopesError> {
+        let text = |value: &dyn ToString| OsString::from(value.to_string());
+        let arguments = [
+            "backend".into(),
+            "--scenario".into(),
+            self.file.clone().into(),
+            "--service".into(),
+            text(&scenario.services[0].name),
+            "--listen".into(),
+            text(&SocketAddr::from((settings.callers.ip(), BACKEND_PORT))),
+            "--announce".into(),
+            text(&settings.worker),
+            "--callers".into(),
+            text(&settings.callers),
+        ];
+        let (lines, _) = mpsc::channel();
+        Process::with_lines("backend", &self.lab, &arguments, lines)
+            .map_err(|error| SlopesError::new("start backend", &error))
+    }
+}
+
+async fn wait_for(settings: &DaemonSettings) -> Result<(), SlopesError> {
+    let client = Client::new(settings.operators);
+    let until = Instant::now() + BOOT_LIMIT;
+    while Instant::now() < until {
+        let request = client.request(Method::Get, "/dump");
+        if let Some(Ok(answer)) = client.send_within(request, Duration::from_secs(1)).await
+            && answer.status < 300
+        {
+            return Ok(());
+        }
+        task::sleep(STEP).await;
+    }
+    Err(SlopesError::new("start daemon", &settings.name))
+}
+
+impl Daemons {
+    fn processor_ms(&self) -> f64 {
+        let used = self.processes.iter().filter_map(Process::processor_ms);
+        used.sum::<u64>() as f64
+    }
+
+    /// Mean of the daemons.
+    fn resident_bytes(&self) -> f64 {
+        let used = self.processes.iter().filter_map(Process::resident_bytes);
+        used.sum::<u64>() as f64 / self.processes.len().max(1) as f64
+    }
+}
--- /dev/null
+++ b/lab/src/slopes/decisions.rs
@@ -0,0 +1,278 @@
+//! Time of single decisions by the size of the state that they look at.
+
+use {
+    crate::slopes::{Series, Slopes},
+    async_std::task::block_on,
+    async_trait::async_trait,
+    parking_lot::Mutex,
+    shallotdeal::{
+        policy::{
+            bind::{Attempt, BindKey, BindLimits, Binder},
+            gate::{Action, Arrival, Finish, Gate, Offer},
+            once::{Admission, Once, OnceLimits},
+            paths::PathLevels,
+            retry::{Accounts, LoanSize},
+            shed::GateRules,
+            suspect::{Death, Fingerprint, Mark, SuspectLimits, Suspects},
+            ticket::Ticket,
+        },
+        request::{Importance, Incarnation, Level, Rank, ServiceName},
+        store::{Entry, LeaseId, Store, StoreError, Swap, Version},
+    },
+    std::{
+        hint::black_box,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const FAR_US: u64 = 1 << 50;
+const TICKET_LIFE_MS: u64 = 60_000;
+/// Decisions of one timing.
+const ROUNDS: u64 = 20_000;
+/// Timings, of which the fastest counts: it is the one that other work disturbed least.
+const REPEATS: usize = 7;
+
+/// Nanoseconds of one decision, the fastest of several timings.
+pub fn time_ns(mut decide: impl FnMut(u64)) -> f64 {
+    let mut step = 0;
+    let mut best = Duration::MAX;
+    for _ in 0..REPEATS {
+        let start = Instant::now();
+        for _ in 0..ROUNDS {
+            step += 1;
+            decide(step);
+        }
+        best = best.min(start.elapsed());
+    }
+    best.as_nanos() as f64 / ROUNDS as f64
+}
+
+/// Measures all decisions of one daemon.
+pub fn measure(slopes: &mut Slopes) {
+    let mut add = |name, along, sizes: &[u64], of: fn(u64) -> f64| {
+        let points = sizes.iter().map(|size| (*size as f64, of(*size)));
+        slopes.add(name, Series::new(along, "ns", points.collect()));
+    };
+    add("gate", "requests in flight", &[20, 200, 2_000], gate);
+    add("paths", "services", &[4, 40, 160, 320], paths);
+    add("once", "run-once records", &[1_000, 10_000, 90_000], once);
+    add(
+        "suspects",
+        "quarantine entries",
+        &[16, 256, 4_096],
+        suspects,
+    );
+    add(
+        "accounts",
+        "requests in flight",
+        &[10, 1_000, 100_000],
+        accounts,
+    );
+    add("binder", "bindings before", &[0, 1_000, 10_000], binder);
+}
+
+fn rank(step: u64) -> Rank {
+    Rank::from_parts(Importance((step % 4) as u8), (step * 37) as u8)
+}
+
+fn gate(in_flight: u64) -> f64 {
+    let mut gate = Gate::new(GateRules::new(50), 1);
+    gate.announce(in_flight as u32, 0);
+    let mut actions: Vec<Action> = Vec::new();
+    let mut running = Vec::new();
+    let arrival = |step| Arrival {
+        rank: rank(step),
+        deadline_us: FAR_US,
+        exclusive: false,
+    };
+    let mut step = 0;
+    // The limit grows with each answer until all slots are taken.
+    while running.len() < in_flight as usize {
+        step += 1;
+        match gate.offer(arrival(step), 1, &mut actions) {
+            Offer::Started(key) => running.push(key),
+            Offer::Queued(key) => gate.cancel(key, 1, &mut actions),
+            Offer::Refused(_) => {}
+        }
+        if gate.in_flight() == gate.report(1).limit as usize && running.len() < in_flight as usize {
+            let key = running.swap_remove(0);
+            gate.finish(key, Finish::Done, 1, &mut actions);
+        }
+        actions.clear();
+    }
+    time_ns(|step| {
+        if let Some(key) = running.pop() {
+            gate.finish(key, Finish::Cancelled, 2, &mut actions);
+        }
+        if let Offer::Started(key) = gate.offer(arrival(step), 2, &mut actions) {
+            running.push(key);
+        }
+        actions.clear();
+    })
+}
+
+fn paths(services: u64) -> f64 {
+    let names: Vec<ServiceName> = (0..services)
+        .map(|index| format!("service-{index}").into())
+        .collect();
+    let mut paths = PathLevels::default();
+    for name in &names {
+        for worker in 0..8 {
+            paths.learn(name, Importance(1), Incarnation(worker), Level(300), 0);
+        }
+    }
+    time_ns(|step| {
+        let name = &names[(step % services) as usize];
+        let _ = black_box(paths.admit(name, rank(step), 1));
+        let worker = Incarnation(step % 8);
+        paths.learn(name, Importance(1), worker, Level(300), 1);
+    })
+}
+
+/// Ticket of a request, as a caller shows it.
+pub(super) fn ticket(serial: u64, now_unix_ms: u64) -> Ticket {
+    Ticket {
+        call_addr: ([10, 0, 0, 1], 7_001).into(),
+        incarnation: Incarnation(1),
+        serial,
+        service: "order-desk".into(),
+        minted_unix_ms: now_unix_ms,
+        expires_unix_ms: now_unix_ms + TICKET_LIFE_MS,
+    }
+}
+
+/// Memory with this many ended records, each with an answer of `answer_bytes`.
+pub(super) fn once_with(records: u64, answer_bytes: usize) -> Once<Vec<u8>> {
+    let limits = OnceLimits {
+        max_entries: 1 << 20,
+        max_answer_bytes: 1 << 30,
+        ..OnceLimits::default()
+    };
+    let mut once = Once::new(limits);
+    for serial in 0..records {
+        run_once(&mut once, serial, answer_bytes);
+    }
+    once
+}
+
+fn run_once(once: &mut Once<Vec<u8>>, serial: u64, answer_bytes: usize) {
+    let shown = ticket(serial, 0);
+    if let Admission::Run(key) = once.admit(&shown, Fingerprint(serial), Incarnation(1), 1) {
+        let _ = once.start(key);
+        once.finish(key, Arc::new(vec![0; answer_bytes]), answer_bytes);
+    }
+}
+
+fn once(records: u64) -> f64 {
+    let mut once = once_with(records, 100);
+    time_ns(|step| run_once(&mut once, records + step, 100))
+}
+
+/// Memory of this many deaths, of as many requests.
+pub(super) fn suspects_with(entries: u64) -> Suspects {
+    let limits = SuspectLimits {
+        max_entries: 1 << 20,
+        ..SuspectLimits::default()
+    };
+    let mut suspects = Suspects::new(limits);
+    suspects.merge((0..entries).map(|entry| Death {
+        fingerprint: Fingerprint(entry.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        incarnation: Incarnation(entry),
+        service: "pantry-ledger".into(),
+        at_unix_ms: 0,
+        mark: Mark::Blamed,
+    }));
+    suspects
+}
+
+fn suspects(entries: u64) -> f64 {
+    let suspects = suspects_with(entries);
+    time_ns(|step| {
+        let fingerprint = Fingerprint((step % entries).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        black_box(suspects.verdict(fingerprint, 1));
+    })
+}
+
+fn accounts(open: u64) -> f64 {
+    let mut accounts = Accounts::new(LoanSize::HalfUp);
+    let keys: Vec<_> = (0..open).map(|_| accounts.open(3)).collect();
+    time_ns(|step| {
+        let key = keys[(step % open) as usize];
+        if let Some(loan) = accounts.lend(key) {
+            let tokens = loan.tokens();
+            accounts.settle(key, loan, tokens);
+        }
+    })
+}
+
+fn binder(before: u64) -> f64 {
+    let binder = Binder::new(BindLimits {
+        calls_per_min: u32::MAX,
+        burst: u32::MAX,
+        ..BindLimits::default()
+    });
+    let store = Instantly(Mutex::new(0));
+    let mut bind = |step: u64| {
+        let Ok(key) = BindKey::new("order-desk", &format!("key-{step}")) else {
+            return;
+        };
+        let attempt = Attempt {
+            is_first: true,
+            first_sent_unix_ms: Some(1),
+        };
+        let fresh = ticket(step, 1);
+        let bound = binder.bind(&store, &key, &fresh, attempt, 1, 1);
+        black_box(block_on(bound)).ok();
+    };
+    (0..before).for_each(&mut bind);
+    time_ns(bind)
+}
+
+/// Store that applies everything at once and keeps nothing.
+struct Instantly(Mutex<u64>);
+
+impl Instantly {
+    fn next(&self) -> Version {
+        let mut version = self.0.lock();
+        *version += 1;
+        Version(*version)
+    }
+}
+
+#[async_trait]
+impl Store for Instantly {
+    async fn get(&self, _: &str) -> Result<Option<Entry>, StoreError> {
+        Ok(None)
+    }
+
+    async fn list(&self, _: &str) -> Result<Vec<Entry>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn swap(
+        &self,
+        _: &str,
+        _: Version,
+        _: Vec<u8>,
+        _: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        Ok(Swap::Applied(self.next()))
+    }
+
+    async fn remove(&self, _: &str, _: Version) -> Result<Swap, StoreError> {
+        Ok(Swap::Applied(self.next()))
+    }
+
+    async fn watch(&self, _: &str, _: Version, _: u32) -> Result<Option<Entry>, StoreError> {
+        Ok(None)
+    }
+
+    async fn grant(&self, _: u32) -> Result<LeaseId, StoreError> {
+        Ok(LeaseId(1))
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -51,7 +51,9 @@
 /// Fails with the task that could not be kept running.
 pub fn run(settings: Settings) -> Result<(), TaskError> {
     async_global_executor::init_with_config(
-        GlobalExecutorConfig::default().with_min_threads(1).with_max_threads(1),
+        GlobalExecutorConfig::default()
+            .with_min_threads(1)
+            .with_max_threads(1),
     );
     let tasks = build(settings)?;
     let node = Arc::clone(&tasks.node);
@@ -119,12 +121,14 @@
         gossip: gossip.clone(),
     });
     Ok(Tasks {
-            node,
-            fleet,
-            gossip,
-            directory,
-            executor,
-            dump, client_task })
+        node,
+        fleet,
+        gossip,
+        directory,
+        executor,
+        dump,
+        client_task,
+    })
 }
 
 fn first_config(settings: &Settings) -> Config {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -144,7 +144,10 @@
                 continue;
             }
             self.connections.fetch_add(1, Ordering::Relaxed);
-            spawn("connection", Arc::clone(&self).connection(stream, app.clone()));
+            spawn(
+                "connection",
+                Arc::clone(&self).connection(stream, app.clone()),
+            );
         }
     }
 
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -48,7 +48,10 @@
     loop {
         let (stream, _) = listener.accept().await?;
         stream.set_nodelay(true)?;
-        spawn("connection from daemon", connection(stream, Arc::clone(&serve)));
+        spawn(
+            "connection from daemon",
+            connection(stream, Arc::clone(&serve)),
+        );
     }
 }
 
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         announce,
-        call::Serve,
         ask::executor::Executor,
+        call::Serve,
         control::reader,
         directory::FleetDirectory,
         dump::Dump,
@@ -13,8 +13,8 @@
         local::Loss,
         node::Node,
         operators,
-        rpc::{client::ClientTask, server},
         policy::drain::DrainAction,
+        rpc::{client::ClientTask, server},
         supervisor::{Supervisor, TaskError},
         sync::{self, FleetView},
     },
@@ -80,7 +80,10 @@
     });
     let client_task = tasks.client_task.clone();
     branch.add("calls to daemons", move || {
-        client_task.clone().run().map(|()| Err(TaskError::new("calls to daemons", &"ended")))
+        client_task
+            .clone()
+            .run()
+            .map(|()| Err(TaskError::new("calls to daemons", &"ended")))
     });
     let serve: Arc<dyn Serve> = Arc::new(Arc::clone(node));
     branch.add("calls from daemons", move || {
--- a/src/view.rs
+++ b/src/view.rs
@@ -63,7 +63,9 @@
         let now_us = self.node.clock.now_us();
         let fleet = self.fleet.lock();
         let place = &fleet.me().place;
-        let live: Vec<_> = known(&fleet).filter(|member| member.status.is_live()).collect();
+        let live: Vec<_> = known(&fleet)
+            .filter(|member| member.status.is_live())
+            .collect();
         let lowest = live.iter().map(|member| member.revision).min();
         let mut rows = vec![DataCentreRow {
             data_centre: place.data_centre.0.clone(),
