--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -165,11 +165,6 @@
                     Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
                 }
             }
-            self.connections.fetch_add(1, Ordering::Relaxed);
-            spawn(
-                "connection",
-                Arc::clone(&self).connection(stream, app.clone()),
-            );
         }
     }
 
