Repeat known suspects by gossip, slowly

Cause: every daemon that knew of a suspect sent it to every member twice a second, for as long as the quarantine lasted: at 150 members about 150 x 2 x 400 bytes, 120 kB/s against a bound of 28 kB/s. Change: only new marks go straight to all; what is known already travels with gossip in turn, every 30 s.

--- a/src/sync.rs
+++ b/src/sync.rs
@@ -34,7 +34,7 @@
 const DIGEST_DEATHS: usize = 5;
 
 /// Interval at which suspects are told again.
-const SUSPECTS_MS: u64 = 500;
+const SUSPECTS_MS: u64 = 30_000;
 
 /// The fleet, as configuration control sees it.
 pub struct FleetView(pub Arc<Mutex<Fleet>>);
@@ -91,9 +91,10 @@
         }
         node.publish_worker(&fleet, published.revision);
         node.merge_suspects(&fleet);
-        for digest in node.due_digests(&mut published) {
+        for digest in node.new_digests(&mut published) {
             gossip.tell_suspects(digest).await;
         }
+        node.repeat_suspects(&fleet, &mut published);
     }
 }
 
@@ -147,6 +148,10 @@
     (newest.revision > revision).then_some(newest.place.call_addr)
 }
 
+fn encode(deaths: &[Death]) -> Option<Vec<u8>> {
+    postcard::to_stdvec(deaths).ok()
+}
+
 impl Node {
     /// Puts a configuration to work that has come into force.
     fn adopt(&self, config: &Config, earlier: Revision) {
@@ -196,25 +201,27 @@
         fleet.set_revision(revision);
     }
 
-    /// Digests of suspects to tell: what is new at once, and all of it in turn.
-    fn due_digests(&self, published: &mut Published) -> Vec<Vec<u8>> {
-        let now_us = self.clock.now_us();
+    /// Digests of suspects that are new, to be told at once.
+    fn new_digests(&self, published: &mut Published) -> Vec<Vec<u8>> {
         let mut local = self.local.lock();
         let report = local.suspects.report();
-        let changes = report
-            .changes()
-            .saturating_sub(published.suspects.changes()) as usize;
-        let is_due = now_us.saturating_sub(published.suspects_us) >= SUSPECTS_MS * 1_000;
-        let turns = usize::from(is_due && report.entries > 0);
+        let changes = report.changes().saturating_sub(published.suspects.changes()) as usize;
         published.suspects = report;
-        if is_due {
-            published.suspects_us = now_us;
+        let digests = changes.div_ceil(DIGEST_DEATHS);
+        (0..digests).filter_map(|_| encode(&local.suspects.digest(DIGEST_DEATHS))).collect()
+    }
+
+    /// Lets known suspects travel with gossip in turn, for daemons that missed them.
+    fn repeat_suspects(&self, fleet: &Mutex<Fleet>, published: &mut Published) {
+        let now_us = self.clock.now_us();
+        if now_us.saturating_sub(published.suspects_us) < SUSPECTS_MS * 1_000 {
+            return;
+        }
+        published.suspects_us = now_us;
+        let digest = self.local.lock().suspects.digest(DIGEST_DEATHS);
+        if let Some(bytes) = encode(&digest).filter(|_| !digest.is_empty()) {
+            fleet.lock().set_suspects(bytes);
         }
-        let digests = changes.div_ceil(DIGEST_DEATHS).max(turns);
-        (0..digests)
-            .map(|_| local.suspects.digest(DIGEST_DEATHS))
-            .filter_map(|deaths| postcard::to_stdvec(&deaths).ok())
-            .collect()
     }
 
     fn merge_suspects(&self, fleet: &Mutex<Fleet>) {
