--- a/lab/src/capacity/daemon.rs
+++ b/lab/src/capacity/daemon.rs
@@ -11,6 +11,8 @@
 const ANSWERS_BYTES: f64 = (32 << 20) as f64;
 /// Bytes of each answer in the measured records.
 const MEASURED_ANSWER_BYTES: f64 = 1_000.0;
+/// Bytes a second that news and digests may cost.
+const GOSSIP_BYTES_PER_S: f64 = 6_000.0;
 const DEATHS: f64 = 4_096.0;
 const EVENTS: f64 = 16_384.0;
 const CONNECTIONS: f64 = 4_096.0;
@@ -28,9 +30,10 @@
     pub memory_bytes: f64,
     /// Resident memory with empty memories and no connection.
     pub idle_bytes: f64,
-    /// Sent for control, mean daemon.
+    /// Sent for control by a daemon that speaks to two data centres and hands out a document once a
+    /// change.
     pub sent_bytes_per_s: f64,
-    /// Sent for control by the daemon that hands out most configurations.
+    /// The same of the daemon that hands out most documents.
     pub busiest_bytes_per_s: f64,
 }
 
@@ -38,17 +41,24 @@
     /// Load at a size.
     pub fn of(plan: &Plan, slopes: &Slopes) -> Result<Self, SlopesError> {
         let change_us = slopes.get("config-decode")?.fit.at(plan.services);
-        let idle_us = slopes.get("idle-cpu")?.fit.at(plan.members());
+        // Measured fleets are small; what grows beyond them is the view's own work.
+        let idle_us =
+            slopes.get("idle-cpu")?.most() + slopes.get("gossip-cpu")?.fit.at(plan.members());
+        let calls = slopes.get("calls-two")?;
+        let calls_us = calls.fit.at(plan.calls_of_daemon()) - 2.0 * slopes.get("idle-cpu")?.most();
         let idle_bytes = slopes.get("idle-memory")?.fit.at(plan.members())
             + slopes.get("summaries-bytes")?.fit.slope * plan.summaries();
         let document = document_bytes(plan, slopes)? * plan.changes_per_s();
         let served = slopes.get("config-served")?.fit.at(plan.members());
         let gossip = slopes.get("gossip-most")?;
-        let gossip = gossip.fit.at(plan.members()).max(gossip.last());
+        let gossip = gossip
+            .fit
+            .at(plan.members())
+            .clamp(gossip.last(), GOSSIP_BYTES_PER_S);
         let spoken = link::pair_bytes_per_s(plan, slopes)? * SPOKEN;
         Ok(Self {
             control_us_per_s: idle_us + change_us * plan.changes_per_s(),
-            calls_us_per_s: slopes.get("calls-two")?.fit.slope * plan.calls_of_daemon(),
+            calls_us_per_s: calls_us.max(0.0),
             memory_bytes: idle_bytes + memories_bytes(slopes)?,
             idle_bytes,
             sent_bytes_per_s: gossip + spoken + document,
--- a/lab/src/capacity/link.rs
+++ b/lab/src/capacity/link.rs
@@ -11,7 +11,6 @@
 /// Summaries and beats from one data centre to another.
 pub fn pair_bytes_per_s(plan: &Plan, slopes: &Slopes) -> Result<f64, SlopesError> {
     let by_services = slopes.get("between-by-services")?;
-    // Datagrams of both data centres of the measured pair are counted.
     Ok(by_services.fit.at(plan.services_of_centre()))
 }
 
--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -91,6 +91,8 @@
             optional --daemon file: PathBuf
             /// Second part of the IP numbers that are used.
             optional --net number: u8
+            /// Only take added latency into the data file, from this output of `lab overhead --json`.
+            optional --overhead file: PathBuf
             /// Print the bytes of one kind of state and do nothing else.
             optional --state kind: String
             /// Records of that state.
--- a/lab/src/cmd/slopes.rs
+++ b/lab/src/cmd/slopes.rs
@@ -8,7 +8,7 @@
     crate::cmd::{self, run::daemon},
     async_std::task,
     lab::slopes::{
-        Slopes,
+        Series, Slopes, SlopesError,
         daemons::{self, Bench},
         decisions,
         state::{self, Kind},
@@ -36,6 +36,10 @@
         println!("{bytes}");
         return Ok(());
     }
+    let out = flags.out.as_deref().unwrap_or(Path::new(DEFAULT_OUT));
+    if let Some(overhead) = &flags.overhead {
+        return add_overhead(out, overhead);
+    }
     let mut slopes = Slopes {
         command: COMMAND.into(),
         machine: machine().into(),
@@ -58,10 +62,41 @@
     });
     fs::remove_dir_all(&directory).ok();
     result?;
-    slopes.write(flags.out.as_deref().unwrap_or(Path::new(DEFAULT_OUT)))?;
+    keep_overhead(out, &mut slopes);
+    slopes.write(out)?;
+    Ok(())
+}
+
+/// Latency that daemons add, told apart from the rest as it needs a quiet machine.
+fn add_overhead(out: &Path, overhead: &Path) -> Result<(), Box<dyn Error>> {
+    let mut slopes = Slopes::read(out)?;
+    let figures: serde_json::Value = serde_json::from_str(&fs::read_to_string(overhead)?)?;
+    for (name, field) in ADDED {
+        let of = |way: &str| figures[way][field].as_f64();
+        let (Some(direct), Some(through)) = (of("direct"), of("through")) else {
+            return Err(SlopesError::new("read overhead", &field).into());
+        };
+        let points = vec![(1.0, through - direct)];
+        slopes.add(name, Series::new("calls in a chain", "us", points));
+    }
+    slopes.write(out)?;
     Ok(())
 }
 
+/// Takes added latency over from the data file that is about to be replaced.
+fn keep_overhead(out: &Path, slopes: &mut Slopes) {
+    let Ok(old) = Slopes::read(out) else {
+        return;
+    };
+    for (name, _) in ADDED {
+        if let Some(series) = old.series.get(name) {
+            slopes.add(name, series.clone());
+        }
+    }
+}
+
+const ADDED: [(&str, &str); 2] = [("added-p50", "p50_us"), ("added-p99", "p99_us")];
+
 fn bench(flags: &cmd::Slopes, directory: &Path) -> Result<Bench, Box<dyn Error>> {
     let file = PathBuf::from(DEFAULT_SCENARIO);
     Ok(Bench {
--- a/lab/src/slopes/daemons.rs
+++ b/lab/src/slopes/daemons.rs
@@ -82,7 +82,8 @@
             .map_err(|error| SlopesError::new("start store", &error))?;
         let fleet = bench.start(number as u8, size, Some(store)).await?;
         task::sleep(FORM).await;
-        let (before_ms, before) = (fleet.processor_ms(), store_calls(&running.platform));
+        calls.push((f64::from(size), store_calls(&running.platform)));
+        let before_ms = fleet.processor_ms();
         let start = Instant::now();
         task::sleep(IDLE).await;
         let seconds = start.elapsed().as_secs_f64();
@@ -90,13 +91,13 @@
         let used_us = (fleet.processor_ms() - before_ms) * MS_TO_US;
         cpu.push((at, used_us / seconds / at));
         memory.push((at, fleet.resident_bytes()));
-        calls.push((at, (store_calls(&running.platform) - before) / seconds));
         drop(fleet);
         running.task.cancel().await;
     }
     slopes.add("idle-cpu", Series::new("members", "us/s", cpu));
     slopes.add("idle-memory", Series::new("members", "B", memory));
-    slopes.add("idle-store", Series::new("members", "calls/s", calls));
+    let series = Series::new("daemons started at once", "calls", calls);
+    slopes.add("start-store", series);
     Ok(())
 }
 
