--- a/lab/src/round.rs
+++ b/lab/src/round.rs
@@ -13,12 +13,18 @@
         platform::{Platform, Running},
         process::ProcessError,
         record::{RequestRecord, RunEvent, unix_us},
-        round::{fault::Timeline, host::Host},
+        round::{
+            fault::{Asked, Timeline},
+            host::Host,
+        },
         scenario::Scenario,
         wire::{configuration, statements},
     },
     async_channel::Receiver,
-    async_std::{io, task},
+    async_std::{
+        io,
+        task::{self, JoinHandle},
+    },
     derive_more::{Display, Error, From},
     serde::Serialize,
     shallotdeal::{
@@ -132,6 +138,7 @@
     records: Receiver<RequestRecord>,
     departures: Vec<Departure>,
     notes: Vec<FaultNote>,
+    asked: Vec<JoinHandle<Asked>>,
     daemon_bytes: u64,
     daemon_processor_ms: u64,
 }
@@ -189,6 +196,7 @@
             records,
             departures: Vec::new(),
             notes: Vec::new(),
+            asked: Vec::new(),
             daemon_bytes: 0,
             daemon_processor_ms: 0,
         })
@@ -226,6 +234,7 @@
         while self.manners.in_flight() > 0 && Instant::now() < settled {
             self.idle(TICK).await;
         }
+        self.gather_answers().await;
         task::sleep(DRAIN_TIME).await;
         Ok(begin_us)
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,6 +17,9 @@
 /// Most hops from the caller; a longer way is a loop.
 const MAX_DEPTH: u8 = 64;
 
+/// Advice to a caller of a daemon that has no configuration yet.
+const SETTLE_RETRY_AFTER_MS: u32 = 500;
+
 /// Resends of one caller, as a share of its first requests.
 const RESEND_RATIO_PERCENT: u8 = 100;
 
@@ -77,6 +80,10 @@
 impl Node {
     /// Checks a request and opens its account.
     pub fn enter(&self, incoming: Incoming, now_us: u64) -> Result<Outgoing, Refusal> {
+        if !self.live.is_settled() {
+            let refusal = Refusal::not_run(Reason::StoreUnavailable);
+            return Err(refusal.retry_after_ms(SETTLE_RETRY_AFTER_MS));
+        }
         let config = self.config();
         let service_rule = self.service_rule(&config, &incoming.service)?;
         match incoming.origin.clone() {
@@ -87,11 +94,15 @@
 
     /// Rule of a service that is configured, or that may be served as it has announced itself.
     fn service_rule(&self, config: &Config, service: &str) -> Result<ServiceRule, Refusal> {
-        let is_listed = config.services.contains_key(service);
-        let rule = config
-            .service(service)
-            .filter(|_| is_listed || self.directory.knows(service));
-        rule.ok_or(Refusal::not_run(Reason::UnknownService))
+        if let Some(rule) = config.services.get(service) {
+            return Ok(rule.clone());
+        }
+        // A data centre that starts cut off from the store serves what has announced itself.
+        let may_be_unlisted = config.rules.unlisted_services || !self.live.is_heard();
+        if may_be_unlisted && self.directory.knows(service) {
+            return Ok(ServiceRule::default());
+        }
+        Err(Refusal::not_run(Reason::UnknownService))
     }
 
     fn enter_nested(
@@ -141,6 +152,7 @@
         config: &Config,
         now_us: u64,
     ) -> Result<Outgoing, Refusal> {
+        let is_first = incoming.is_first();
         let fingerprint = incoming.fingerprint();
         let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
         let rule = config.class(&class);
@@ -169,7 +181,8 @@
                 .has_own_id
                 .then(|| incoming.request_id.to_string().into())
         });
-        let account = self.local.lock().accounts.open(rule.retry_allowance);
+        let tokens = self.tokens(rule.retry_allowance, idempotent, incoming.attempt)?;
+        let account = self.local.lock().accounts.open(tokens);
         Ok(Outgoing {
             request_id: incoming.request_id,
             service: incoming.service,
@@ -181,7 +194,7 @@
             depth: 0,
             account,
             parent: None,
-            first_attempt: incoming.attempt == 1,
+            first_attempt: is_first,
             ticket,
             key,
             is_resend: incoming.attempt > 1,
@@ -191,6 +204,26 @@
         })
     }
 
+    /// Retries for one send of a request.
+    ///
+    /// A part of the allowance is set aside for the caller's own resends, so that all sends and
+    /// retries together stay within it, whichever daemons they come to.
+    fn tokens(&self, allowance: u8, idempotent: bool, attempt: u32) -> Result<u8, Refusal> {
+        if !idempotent || self.is_baseline() {
+            return Ok(allowance);
+        }
+        let set_aside = allowance / 2;
+        let resends = attempt.saturating_sub(1);
+        if resends == 0 {
+            return Ok(allowance - set_aside);
+        }
+        if resends > u32::from(set_aside) {
+            let refusal = Refusal::unknown(Reason::RetriesSpent);
+            return Err(refusal.retry_after_ms(RESEND_RETRY_AFTER_MS));
+        }
+        Ok(0)
+    }
+
     /// Counts a caller's send and holds back one that resends too much.
     fn count_send(&self, caller: IpAddr, attempt: u32, now_us: u64) -> Result<(), Refusal> {
         if self.is_baseline() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cmd;
 pub mod collections;
 pub mod config;
+pub mod connection;
 pub mod control;
 pub mod daemon;
 pub mod directory;
@@ -24,6 +25,7 @@
 #[rustfmt::skip]
 pub mod fleet_capnp;
 pub mod forward;
+pub mod framed;
 pub mod ingress;
 pub mod local;
 pub mod logs;
