Run whole daemons in one process under faults

The decisions were checked on their own, the code that joins them was not. tests/node builds several nodes with a network, backend servers, a directory and a store that fail by seed, and keeps what the backend servers ran. Node::tick and the number of waiting calls become public for it.

--- a/src/local.rs
+++ b/src/local.rs
@@ -143,6 +143,11 @@
         receiver
     }
 
+    /// Number of queued calls that wait for the gate.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Forgets that work waits.
     pub fn unwait(&mut self, key: WorkKey) {
         self.waiting.remove(&key);
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -169,7 +169,7 @@
 
 impl Node {
     /// Lets time pass for the local worker.
-    fn tick(&self) {
+    pub fn tick(&self) {
         let now = self.now();
         let stop_limit_ms = self.config().rules.stop_limit_ms;
         let mut local = self.local.lock();
--- /dev/null
+++ b/tests/node/main.rs
@@ -0,0 +1,20 @@
+//! Whole daemons in one process: entry, binding, forwarding, serving and drain joined, under faults.
+//!
+//! `SEEDS=100 cargo test --test node` runs more histories of each kind.
+
+mod faults;
+mod servers;
+mod shed;
+#[path = "../once/spec.rs"]
+mod spec;
+mod tree;
+mod world;
+
+use std::env;
+
+fn seeds(default: u64) -> u64 {
+    env::var("SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
