Tell the waiting of an order whose run panics

A panic while a backend server ran an order ended the order's task; all who waited for it waited until their own limit, and its record stayed open for good, so that every resend joined it and waited too. Its end is now told, as unknown, when the task goes away in whatever way. Before: the caller in tests/node/cancel.rs has no answer after 500 ms, one waiter and one open record left. After: answered unknown, nothing left. The other checks there (a caller that goes away, a deadline, a started order whose caller goes away) found no fault.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,8 +13,8 @@
             ticket::Ticket,
             verdict::Denial,
         },
-        spawn::spawn,
         request::{Incarnation, Level, Outcome, Reason, Refusal},
+        spawn::spawn,
         trace::Event,
     },
     async_trait::async_trait,
@@ -70,13 +70,9 @@
     }
 
     async fn run_once(self: Arc<Self>, work: Work, key: OnceKey) {
-        let mut reply = work.run(Some(key)).await;
-        let waiting = self.local.lock().joined.remove(&key).unwrap_or_default();
-        for sender in waiting {
-            // Who has gone away resends and finds the record.
-            let _ = sender.send(reply.clone());
-            reply.retry_tokens = 0;
-        }
+        let order = Order { node: self, key };
+        let reply = work.run(Some(key)).await;
+        order.tell(reply);
     }
 
     fn replayed(&self, answer: Arc<Answer>) -> Reply {
@@ -325,6 +321,30 @@
 
 type Waiting = oneshot::Receiver<Result<(), Refusal>>;
 
+/// One order in the record; its end is told to all who wait for it, also after a panic.
+struct Order {
+    node: Arc<Node>,
+    key: OnceKey,
+}
+
+impl Order {
+    fn tell(&self, mut reply: Reply) {
+        let waiting = self.node.local.lock().joined.remove(&self.key);
+        for sender in waiting.unwrap_or_default() {
+            // Who has gone away resends and finds the record.
+            let _ = sender.send(reply.clone());
+            reply.retry_tokens = 0;
+        }
+    }
+}
+
+impl Drop for Order {
+    fn drop(&mut self) {
+        let denial = self.node.local.lock().once.lose(self.key, Reason::Internal);
+        self.tell(denied(denial, None, Level::OPEN));
+    }
+}
+
 /// What the backend server is given.
 struct Started {
     addr: SocketAddr,
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `SEEDS=100 cargo test --test node` runs more histories of each kind.
 
+mod cancel;
 mod faults;
 mod servers;
 mod shed;
