Keep the end of a daemon when its backend server is replaced

A new life of the backend server began a new drain state: a daemon told to end by the system forgot it, took work again and never ended, and requests of the earlier life and passed-on requests were counted out of a count that they were not in. The new state now takes over what concerns the daemon, and a request counts out of its own life only. Before: the ending daemon in tests/node/drain.rs sent a new read to a backend server (unknown: broken). After: it refuses it and ends once the passed-on reads have ended.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -4,7 +4,7 @@
     crate::{
         local::{Loss, Now},
         node::Node,
-        policy::drain::{Asked, Drain, Order, Stage},
+        policy::drain::{Asked, Order, Stage},
         request::Incarnation,
         worker::{Announced, Announcement, RawAnnouncement, Worker},
     },
@@ -113,7 +113,7 @@
             incarnation,
             seen_us: now.us,
         });
-        local.drain = Drain::new();
+        local.drain = local.drain.next_life();
         drop(local);
         self.metrics.count("worker.joined");
         tracing::info!(service = %announcement.service, addr = %announcement.addr, %incarnation, "backend server joined");
--- a/src/policy/drain.rs
+++ b/src/policy/drain.rs
@@ -160,6 +160,26 @@
         Self::default()
     }
 
+    /// State for the next life of the backend server; what concerns the daemon itself goes on.
+    ///
+    /// To be followed by [`Drain::ask`].
+    #[must_use]
+    pub fn next_life(&self) -> Self {
+        let daemon = self.asked.daemon;
+        Self {
+            asked: Asked {
+                daemon,
+                ..Asked::default()
+            },
+            relayed: self.relayed,
+            has_exited: self.has_exited,
+            stop_since_us: self.stop_since_us.filter(|_| daemon),
+            refused: self.refused,
+            cut: self.cut,
+            ..Self::default()
+        }
+    }
+
     /// Takes what is wanted at present; called on each change of any of them.
     pub fn ask(&mut self, asked: Asked, now_us: u64) -> Vec<DrainAction> {
         self.asked = asked;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -209,6 +209,7 @@
         let node = Arc::clone(&self.node);
         Slot {
             node,
+            incarnation: self.call.incarnation,
             key,
             call_id: None,
             finish: Finish::Cancelled,
@@ -354,6 +355,7 @@
 /// Place at the gate; given back when dropped.
 struct Slot {
     node: Arc<Node>,
+    incarnation: Incarnation,
     key: Option<WorkKey>,
     call_id: Option<CallId>,
     finish: Finish,
@@ -376,7 +378,10 @@
             local.gate.finish(key, self.finish, now_us, &mut actions);
             local.apply(actions);
         }
-        local.leave();
+        // A new life of the worker counts its own requests only.
+        if local.last_incarnation == self.incarnation {
+            local.leave();
+        }
         running.map_or((0, Level::OPEN), |running| {
             (local.accounts.close(running.account), running.path_level)
         })
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 //! `SEEDS=100 cargo test --test node` runs more histories of each kind.
 
 mod cancel;
+mod drain;
 mod faults;
 mod servers;
 mod shed;
