Refuse a quarantined request where it comes in

An ingress that had seen two deaths of a request sent it on, marked to run alone, and left the refusal to the worker's daemon, which may not have heard of them. A read with an allowance took further servers within one request.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -59,14 +59,14 @@
     ) -> Result<Arc<Answer>, Refusal> {
         let now_us = self.clock.now_us();
         let remaining_us = out.deadline_us.saturating_sub(now_us);
-        if remaining_us == 0 {
-            return Err(Refusal::not_run(Reason::Deadline));
-        }
-        self.check_path(out, now_us)?;
-        let target = self.target(out, trail, remaining_us, now_us)?;
+        let suspicion = self.suspicion(out);
+        let target = self
+            .check(out, suspicion, now_us)
+            .and_then(|()| self.target(out, trail, remaining_us, now_us))?;
         let loan = self.local.lock().accounts.lend(out.account);
         let loan = loan.ok_or(Refusal::not_run(Reason::Cancelled))?;
-        let call = self.call(out, target, remaining_us, &loan);
+        let is_exclusive = suspicion == SuspectVerdict::RunAlone;
+        let call = self.call(out, target, remaining_us, &loan, is_exclusive);
         if trail.tried.is_empty() {
             self.ratio(&out.service, |ratio| ratio.first(now_us));
         }
@@ -86,14 +86,24 @@
             .blame(incarnation, blamed, now_unix_ms);
     }
 
-    fn is_suspect(&self, out: &Outgoing) -> bool {
+    fn suspicion(&self, out: &Outgoing) -> SuspectVerdict {
+        if self.is_baseline() {
+            return SuspectVerdict::Run;
+        }
         let now_unix_ms = self.clock.now_unix_ms();
-        let verdict = self
-            .local
-            .lock()
-            .suspects
-            .verdict(out.fingerprint, now_unix_ms);
-        !self.is_baseline() && verdict != SuspectVerdict::Run
+        let local = self.local.lock();
+        local.suspects.verdict(out.fingerprint, now_unix_ms)
+    }
+
+    /// Refuses what is not to be sent at all.
+    fn check(&self, out: &Outgoing, suspicion: SuspectVerdict, now_us: u64) -> Result<(), Refusal> {
+        if out.deadline_us <= now_us {
+            return Err(Refusal::not_run(Reason::Deadline));
+        }
+        if suspicion == SuspectVerdict::Quarantined {
+            return Err(Refusal::not_run(Reason::Quarantined));
+        }
+        self.check_path(out, now_us)
     }
 
     /// Refuses at once what a service further on would refuse.
@@ -142,7 +152,14 @@
             .ok_or(Refusal::not_run(Reason::NoWorker))
     }
 
-    fn call(&self, out: &Outgoing, target: Target, remaining_us: u64, loan: &Loan) -> Call {
+    fn call(
+        &self,
+        out: &Outgoing,
+        target: Target,
+        remaining_us: u64,
+        loan: &Loan,
+        exclusive: bool,
+    ) -> Call {
         Call {
             request_id: out.request_id,
             service: out.service.clone(),
@@ -155,7 +172,7 @@
             depth: out.depth,
             ticket: out.ticket.as_ref().map(|ticket| ticket.to_string().into()),
             first_attempt: out.first_attempt,
-            exclusive: self.is_suspect(out),
+            exclusive,
             request: Arc::clone(&out.request),
         }
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod drain;
 mod faults;
+mod killer;
 mod servers;
 mod shed;
 #[path = "../once/spec.rs"]
