Answer unknown to a resent order that is refused early

A resend of an order that was refused before it was sent on (daemon ending, no worker known, level at the edge, deadline, malformed) was answered not-run, though an earlier send may have run. Histories in tests/node/orders.rs, with ticket, key and request identity, are checked with the specification of tests/once under eleven faults, singly and in pairs.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Tells whether an earlier send of a non-idempotent request may have run.
+    pub fn may_have_run(&self, incoming: &Incoming) -> bool {
+        if matches!(incoming.origin, Origin::Nested(_)) {
+            return false;
+        }
+        let class = incoming.class.as_deref().unwrap_or(DEFAULT_CLASS);
+        let method = &incoming.request.method;
+        let is_named = incoming.has_own_id || incoming.ticket.is_some() || incoming.key.is_some();
+        let is_first = incoming.attempt == 1 || (incoming.attempt == 0 && !is_named);
+        !is_first && !is_idempotent(&self.config(), class, method)
+    }
+
     /// Rule of a service that is configured, or that may be served as it has announced itself.
     fn service_rule(&self, config: &Config, service: &str) -> Result<ServiceRule, Refusal> {
         let is_listed = config.services.contains_key(service);
@@ -144,8 +156,7 @@
         let fingerprint = incoming.fingerprint();
         let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
         let rule = config.class(&class);
-        let is_named = config.classes.contains_key(&class) && class != DEFAULT_CLASS;
-        let idempotent = rule.idempotent || (!is_named && is_safe(&incoming.request.method));
+        let idempotent = is_idempotent(config, &class, &incoming.request.method);
         let timeout_ms = incoming.timeout_ms.unwrap_or(u64::from(rule.deadline_ms));
         if timeout_ms == 0 {
             return Err(Refusal::not_run(Reason::Deadline));
@@ -209,6 +220,11 @@
     }
 }
 
+fn is_idempotent(config: &Config, class: &str, method: &str) -> bool {
+    let is_named = config.classes.contains_key(class) && class != DEFAULT_CLASS;
+    config.class(class).idempotent || (!is_named && is_safe(method))
+}
+
 /// Safe methods are idempotent whatever the class.
 fn is_safe(method: &str) -> bool {
     matches!(method, "GET" | "HEAD" | "OPTIONS")
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,7 +20,7 @@
             shed::GateRules,
             suspect::SuspectLimits,
         },
-        request::{Refusal, RequestId, ServiceName},
+        request::{Outcome, Refusal, RequestId, ServiceName},
         settings::{PolicyKind, Settings},
         store::Store,
         trace::{Event, Traces},
@@ -192,14 +192,23 @@
 
 impl Node {
     async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
-        let _relay = Relay::enter(self)?;
-        let mut out = self.enter(incoming, self.clock.now_us())?;
+        let may_have_run = !self.is_baseline() && self.may_have_run(&incoming);
+        let early = |refusal: Refusal| Refusal {
+            outcome: if may_have_run {
+                Outcome::Unknown
+            } else {
+                refusal.outcome
+            },
+            ..refusal
+        };
+        let _relay = Relay::enter(self).map_err(early)?;
+        let mut out = self.enter(incoming, self.clock.now_us()).map_err(early)?;
         let _account = out.parent.is_none().then(|| Opened {
             node: self,
             account: out.account,
         });
         if out.needs_ticket() && !self.is_baseline() {
-            self.bind(&mut out).await?;
+            self.bind(&mut out).await.map_err(early)?;
         }
         self.forward(&out).await
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod faults;
 mod killer;
+mod orders;
 mod servers;
 mod shed;
 #[path = "../once/spec.rs"]
