Close a worker to others for suspects only for a share of the time

A suspect at the head of the queue held back all others until it had run alone; many of them, of a more important class, took the worker for as long as they lasted.

--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         policy::{
+            alone::{AloneLimits, Turns},
             limit::{Limit, Sample},
             queue::{Order, Queue, Ticket},
             shed::{GateRules, LevelControl, Load},
@@ -47,10 +48,12 @@
     level: LevelControl,
     limit: Limit,
     queue: Queue<WorkKey>,
+    /// Waiting work that must run alone; it holds no place in the other queue.
+    suspects: Queue<WorkKey>,
+    turns: Turns<WorkKey>,
     works: SlotMap<WorkKey, Work>,
     in_flight: usize,
     started_sum_us: u128,
-    alone: bool,
     draining: bool,
     order: Order,
     counters: GateCounters,
@@ -65,10 +68,11 @@
             level: LevelControl::new(rules),
             limit: Limit::new(),
             queue: Queue::new(),
+            suspects: Queue::new(),
+            turns: Turns::new(AloneLimits::default()),
             works: SlotMap::with_key(),
             in_flight: 0,
             started_sum_us: 0,
-            alone: false,
             draining: false,
             order: Order::OldestFirst,
             counters: GateCounters::default(),
@@ -94,7 +98,7 @@
         self.works.clear();
         self.in_flight = 0;
         self.started_sum_us = 0;
-        self.alone = false;
+        self.turns = Turns::new(AloneLimits::default());
         self.limit.restart(now_us);
     }
 
@@ -118,7 +122,9 @@
         if !self.admits(arrival.rank) {
             return Offer::Refused(self.refusal(Reason::Overload, now_us));
         }
-        let key = self.enqueue(arrival);
+        let Some(key) = self.enqueue(arrival, now_us, actions) else {
+            return Offer::Refused(self.refusal(Reason::WorkerFull, now_us));
+        };
         self.exchange(arrival.rank, now_us, actions);
         self.pump(now_us, actions);
         self.evict(now_us, actions);
@@ -132,7 +138,12 @@
         };
         match work.state {
             State::Queued(ticket) => {
-                self.queue.remove(ticket);
+                if work.exclusive {
+                    self.suspects.remove(ticket);
+                    self.turns.cancel(key);
+                } else {
+                    self.queue.remove(ticket);
+                }
                 self.counters.cancelled += 1;
             }
             State::Running { started_us } => {
@@ -140,7 +151,9 @@
                 self.measure(started_us, finish, now_us);
                 self.in_flight -= 1;
                 self.started_sum_us -= u128::from(started_us);
-                self.alone &= !work.exclusive;
+                if work.exclusive {
+                    self.turns.end(now_us);
+                }
             }
         }
         self.roll(now_us);
@@ -182,11 +195,15 @@
     /// State for dumps and gossip.
     pub fn report(&self, now_us: u64) -> GateReport {
         let load = self.load(now_us);
+        let mut queued = self.queue.counts().clone();
+        for (importance, count) in self.suspects.counts() {
+            *queued.entry(*importance).or_default() += count;
+        }
         GateReport {
             level: self.level(),
             limit: load.limit,
             in_flight: self.in_flight,
-            queued: self.queue.counts().clone(),
+            queued,
             queue_delay_us: load.delay_us(),
             latency_us: self.limit.latency().mean_us(),
             draining: self.draining,
@@ -245,12 +262,38 @@
         now_us + expected_us < deadline_us
     }
 
-    fn enqueue(&mut self, arrival: Arrival) -> WorkKey {
-        let queue = &mut self.queue;
-        self.works.insert_with_key(|key| Work {
+    /// Queues an arrival; `None` if too many suspects wait that are no less important.
+    fn enqueue(
+        &mut self,
+        arrival: Arrival,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<WorkKey> {
+        let queue = if arrival.exclusive {
+            &mut self.suspects
+        } else {
+            &mut self.queue
+        };
+        let key = self.works.insert_with_key(|key| Work {
             exclusive: arrival.exclusive,
             state: State::Queued(queue.push(arrival.rank, arrival.deadline_us, key)),
-        })
+        });
+        if !arrival.exclusive || self.turns.queue(key, false) {
+            return Some(key);
+        }
+        let worst = self.suspects.worst()?;
+        let Some(dropped) = self.suspects.remove(worst) else {
+            return Some(key);
+        };
+        self.works.remove(dropped);
+        if dropped == key {
+            return None;
+        }
+        self.turns.cancel(dropped);
+        let _ = self.turns.queue(key, false);
+        let refusal = self.refusal(Reason::WorkerFull, now_us);
+        actions.push(Action::Refuse(dropped, refusal));
+        Some(key)
     }
 
     /// Tells the fate of an arrival, taking its own action out of the list.
@@ -287,12 +330,13 @@
 
     /// Starts what may start.
     fn pump(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.take_turn(now_us, actions);
         while let Some((ticket, key)) = self.queue.best(self.order) {
             if !self.in_time(ticket.deadline_us(), 0, now_us) {
                 self.drop_queued(ticket, Reason::Deadline, now_us, actions);
                 continue;
             }
-            if !self.has_room(key) {
+            if !self.turns.is_open() || self.in_flight >= self.limit.current() as usize {
                 return;
             }
             self.queue.remove(ticket);
@@ -301,12 +345,35 @@
         }
     }
 
-    fn has_room(&self, key: WorkKey) -> bool {
-        let exclusive = self.works.get(key).is_some_and(|work| work.exclusive);
-        if self.alone || (exclusive && self.in_flight > 0) {
-            return false;
+    /// Starts the most important suspect if it has the worker to itself now.
+    fn take_turn(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        while let Some(late) = self.suspects.expired(now_us) {
+            self.drop_suspect(late, Reason::Deadline, actions);
+        }
+        let Some(turn) = self.turns.next(self.in_flight as u32, now_us) else {
+            return;
+        };
+        let Some((ticket, key)) = self.suspects.best(Order::OldestFirst) else {
+            self.turns.end(now_us);
+            return;
+        };
+        if key != turn {
+            // The turn goes to another one than the first that came.
+            self.turns.cancel(key);
+            let _ = self.turns.queue(turn, false);
+        }
+        self.suspects.remove(ticket);
+        self.start(key, now_us);
+        actions.push(Action::Start(key));
+    }
+
+    fn drop_suspect(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
+        if let Some(key) = self.suspects.remove(ticket) {
+            self.turns.cancel(key);
+            self.works.remove(key);
+            let refusal = self.refusal(reason, 0);
+            actions.push(Action::Refuse(key, refusal));
         }
-        self.in_flight < self.limit.current() as usize
     }
 
     fn start(&mut self, key: WorkKey, now_us: u64) {
@@ -314,7 +381,6 @@
             return;
         };
         work.state = State::Running { started_us: now_us };
-        self.alone |= work.exclusive;
         self.in_flight += 1;
         self.started_sum_us += u128::from(now_us);
         self.counters.started += 1;
@@ -336,6 +402,9 @@
         while let Some(worst) = self.queue.worst() {
             self.drop_queued(worst, reason, 0, actions);
         }
+        while let Some(worst) = self.suspects.worst() {
+            self.drop_suspect(worst, reason, actions);
+        }
     }
 
     fn drop_queued(
--- a/src/policy/work.rs
+++ b/src/policy/work.rs
@@ -19,7 +19,7 @@
     pub rank: Rank,
     /// Deadline on the monotonic clock.
     pub deadline_us: u64,
-    /// Whether it must run alone, as a suspect of crashing backend servers.
+    /// Whether it must run alone, as a suspect of crashing backend servers; it waits for its turn.
     pub exclusive: bool,
 }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -12,6 +12,7 @@
 #[path = "../once/spec.rs"]
 mod spec;
 mod tree;
+mod turns;
 mod world;
 
 use std::env;
