--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,7 @@
             shed::GateRules,
             suspect::SuspectLimits,
         },
-        request::{Reason, Refusal, RequestId, ServiceName},
+        request::{Outcome, Refusal, RequestId, ServiceName},
         settings::{PolicyKind, Settings},
         store::Store,
         trace::{Event, Traces},
@@ -197,46 +197,23 @@
 
 impl Node {
     async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
-        let _relay = Relay::enter(self)?;
-        let is_first = incoming.is_first();
-        let entered = self.enter(incoming, self.clock.now_us());
-        let mut out = entered.map_err(|refusal| refusal.doubt(!is_first))?;
+        let may_have_run = !self.is_baseline() && self.may_have_run(&incoming);
+        let early = |refusal: Refusal| Refusal {
+            outcome: if may_have_run {
+                Outcome::Unknown
+            } else {
+                refusal.outcome
+            },
+            ..refusal
+        };
+        let _relay = Relay::enter(self).map_err(early)?;
+        let mut out = self.enter(incoming, self.clock.now_us()).map_err(early)?;
         let _account = out.parent.is_none().then(|| Opened {
             node: self,
             account: out.account,
         });
         if out.needs_ticket() && !self.is_baseline() {
-            let bound = self.bind(&mut out).await;
-            bound.map_err(|refusal| refusal.doubt(!is_first))?;
-        }
-        if out.parent.is_some() || self.is_baseline() {
-            return self.forward(&out).await;
-        }
-        self.check_floor(&out)?;
-        let result = self.forward(&out).await;
-        self.note_floor(&out, &result);
-        result
-    }
-
-    /// Refuses a request while more important ones are being refused here.
-    fn check_floor(&self, out: &Outgoing) -> Result<(), Refusal> {
-        let now_us = self.clock.now_us();
-        let floor = self.floor.lock();
-        if floor.admits(out.importance, now_us) {
-            return Ok(());
-        }
-        let refusal = Refusal::not_run(Reason::Overload).doubt(!out.first_attempt);
-        Err(refusal.retry_after_ms(floor.retry_after_ms(now_us)))
-    }
-
-    /// Orders that are shed keep less important requests out, to whatever service.
-    fn note_floor(&self, out: &Outgoing, result: &Result<Arc<Answer>, Refusal>) {
-        let Err(refusal) = result else {
-            return;
-        };
-        let is_shed = matches!(refusal.reason, Reason::Overload | Reason::WorkerFull);
-        if is_shed && !out.idempotent {
-            self.floor.lock().refused(out.importance, self.clock.now_us());
+            self.bind(&mut out).await.map_err(early)?;
         }
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -70,13 +70,9 @@
     }
 
     async fn run_once(self: Arc<Self>, work: Work, key: OnceKey) {
-        let mut reply = work.run(Some(key)).await;
-        let waiting = self.local.lock().joined.remove(&key).unwrap_or_default();
-        for sender in waiting {
-            // Who has gone away resends and finds the record.
-            let _ = sender.send(reply.clone());
-            reply.retry_tokens = 0;
-        }
+        let order = Order { node: self, key };
+        let reply = work.run(Some(key)).await;
+        order.tell(reply);
     }
 
     fn replayed(&self, answer: Arc<Answer>) -> Reply {
@@ -213,6 +209,7 @@
         let node = Arc::clone(&self.node);
         Slot {
             node,
+            incarnation: self.call.incarnation,
             key,
             call_id: None,
             finish: Finish::Cancelled,
@@ -325,6 +322,30 @@
 
 type Waiting = oneshot::Receiver<Result<(), Refusal>>;
 
+/// One order in the record; its end is told to all who wait for it, also after a panic.
+struct Order {
+    node: Arc<Node>,
+    key: OnceKey,
+}
+
+impl Order {
+    fn tell(&self, mut reply: Reply) {
+        let waiting = self.node.local.lock().joined.remove(&self.key);
+        for sender in waiting.unwrap_or_default() {
+            // Who has gone away resends and finds the record.
+            let _ = sender.send(reply.clone());
+            reply.retry_tokens = 0;
+        }
+    }
+}
+
+impl Drop for Order {
+    fn drop(&mut self) {
+        let denial = self.node.local.lock().once.lose(self.key, Reason::Internal);
+        self.tell(denied(denial, None, Level::OPEN));
+    }
+}
+
 /// What the backend server is given.
 struct Started {
     addr: SocketAddr,
@@ -334,6 +355,7 @@
 /// Place at the gate; given back when dropped.
 struct Slot {
     node: Arc<Node>,
+    incarnation: Incarnation,
     key: Option<WorkKey>,
     call_id: Option<CallId>,
     finish: Finish,
@@ -356,7 +378,10 @@
             local.gate.finish(key, self.finish, now_us, &mut actions);
             local.apply(actions);
         }
-        local.leave();
+        // A new life of the worker counts its own requests only.
+        if local.last_incarnation == self.incarnation {
+            local.leave();
+        }
         running.map_or((0, Level::OPEN), |running| {
             (local.accounts.close(running.account), running.path_level)
         })
