Join the two ways of doubting a refusal

Cause: two changes made a refusal of a resent request unknown, one for all requests, one for orders; the merge kept halves of both. Change: the caller's word on earlier sends is read in one place, and every refusal before the gate is doubted alike; the node tests begin with a configuration that is known. Conclusion: one rule.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -92,18 +92,6 @@
         }
     }
 
-    /// Tells whether an earlier send of a non-idempotent request may have run.
-    pub fn may_have_run(&self, incoming: &Incoming) -> bool {
-        if matches!(incoming.origin, Origin::Nested(_)) {
-            return false;
-        }
-        let class = incoming.class.as_deref().unwrap_or(DEFAULT_CLASS);
-        let method = &incoming.request.method;
-        let is_named = incoming.has_own_id || incoming.ticket.is_some() || incoming.key.is_some();
-        let is_first = incoming.attempt == 1 || (incoming.attempt == 0 && !is_named);
-        !is_first && !is_idempotent(&self.config(), class, method)
-    }
-
     /// Rule of a service that is configured, or that may be served as it has announced itself.
     fn service_rule(&self, config: &Config, service: &str) -> Result<ServiceRule, Refusal> {
         if let Some(rule) = config.services.get(service) {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -63,8 +63,7 @@
         let suspicion = self.suspicion(out);
         let target = self
             .check(out, suspicion, now_us)
-            .and_then(|()| self.target(out, trail, remaining_us, now_us))
-            .map_err(|refusal| unsent(out, refusal))?;
+            .and_then(|()| self.target(out, trail, remaining_us, now_us))?;
         let loan = self.local.lock().accounts.lend(out.account);
         let loan = loan.ok_or(Refusal::not_run(Reason::Cancelled))?;
         let is_exclusive = suspicion == SuspectVerdict::RunAlone;
@@ -362,15 +361,6 @@
     }
 }
 
-/// What the sender is told of a request that was not sent this time.
-fn unsent(out: &Outgoing, refusal: Refusal) -> Refusal {
-    if !out.needs_ticket() {
-        return refusal;
-    }
-    let denial = Denial::NotNow(refusal.reason);
-    judge(out, Heard::Denial(denial), refusal.retry_after_ms)
-}
-
 fn judge(out: &Outgoing, heard: Heard, retry_after_ms: Option<u32>) -> Refusal {
     match verdict(out.first_attempt, Sent::Nothing, heard) {
         Ok(()) => Refusal::unknown(Reason::Internal),
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,7 @@
             shed::GateRules,
             suspect::SuspectLimits,
         },
-        request::{Outcome, Refusal, RequestId, ServiceName},
+        request::{Reason, Refusal, RequestId, ServiceName},
         settings::{PolicyKind, Settings},
         store::Store,
         trace::{Event, Traces},
@@ -197,15 +197,8 @@
 
 impl Node {
     async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
-        let may_have_run = !self.is_baseline() && self.may_have_run(&incoming);
-        let early = |refusal: Refusal| Refusal {
-            outcome: if may_have_run {
-                Outcome::Unknown
-            } else {
-                refusal.outcome
-            },
-            ..refusal
-        };
+        let is_first = incoming.is_first() || matches!(incoming.origin, Origin::Nested(_));
+        let early = |refusal: Refusal| refusal.doubt(!is_first);
         let _relay = Relay::enter(self).map_err(early)?;
         let mut out = self.enter(incoming, self.clock.now_us()).map_err(early)?;
         let _account = out.parent.is_none().then(|| Opened {
@@ -215,6 +208,36 @@
         if out.needs_ticket() && !self.is_baseline() {
             self.bind(&mut out).await.map_err(early)?;
         }
+        if out.parent.is_some() || self.is_baseline() {
+            return self.forward(&out).await;
+        }
+        self.check_floor(&out)?;
+        let result = self.forward(&out).await;
+        self.note_floor(&out, &result);
+        result
+    }
+
+    /// Refuses a request while more important ones are being refused here.
+    fn check_floor(&self, out: &Outgoing) -> Result<(), Refusal> {
+        let now_us = self.clock.now_us();
+        let floor = self.floor.lock();
+        if floor.admits(out.importance, now_us) {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(Reason::Overload).doubt(!out.first_attempt);
+        Err(refusal.retry_after_ms(floor.retry_after_ms(now_us)))
+    }
+
+    /// Orders that are shed keep less important requests out, to whatever service.
+    fn note_floor(&self, out: &Outgoing, result: &Result<Arc<Answer>, Refusal>) {
+        let Err(refusal) = result else {
+            return;
+        };
+        let is_shed = matches!(refusal.reason, Reason::Overload | Reason::WorkerFull);
+        if is_shed && !out.idempotent {
+            let now_us = self.clock.now_us();
+            self.floor.lock().refused(out.importance, now_us);
+        }
     }
 
     /// Records what happened to a request.
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Configuration in force from the start, as a daemon that has read the store knows it.
+    fn live(&self) -> Arc<Live> {
+        let live = Live::new(self.config.clone(), Arc::clone(&self.clock) as _);
+        live.settle();
+        Arc::new(live)
+    }
+
     fn make(self: &Arc<Self>, index: usize) -> Arc<Node> {
         let mut settings = Settings::try_from(SETTINGS).expect("settings");
         settings.place.name = format_smolstr!("node-{index}");
@@ -204,7 +211,7 @@
             }),
             directory: Arc::new(Listing(Arc::clone(self))),
             store: Arc::clone(&self.store) as _,
-            live: Arc::new(Live::new(self.config.clone(), Arc::clone(&self.clock) as _)),
+            live: self.live(),
             seed: self.rng.lock().random(),
         })
     }
