Name the ends of a call in the fault network

Lint only: the share of a call that is refused or lost is one enum, the call to a worker is built by the request itself.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -67,7 +67,7 @@
         let loan = self.local.lock().accounts.lend(out.account);
         let loan = loan.ok_or(Refusal::not_run(Reason::Cancelled))?;
         let is_exclusive = suspicion == SuspectVerdict::RunAlone;
-        let call = self.call(out, target, remaining_us, &loan, is_exclusive);
+        let call = out.call(target, remaining_us, &loan, is_exclusive);
         if trail.tried.is_empty() {
             self.ratio(&out.service, |ratio| ratio.first(now_us));
         }
@@ -153,31 +153,6 @@
             .ok_or(Refusal::not_run(Reason::NoWorker))
     }
 
-    fn call(
-        &self,
-        out: &Outgoing,
-        target: Target,
-        remaining_us: u64,
-        loan: &Loan,
-        exclusive: bool,
-    ) -> Call {
-        Call {
-            request_id: out.request_id,
-            service: out.service.clone(),
-            class: out.class.clone(),
-            importance: out.importance,
-            idempotent: out.idempotent,
-            incarnation: target.incarnation,
-            remaining_us,
-            retry_tokens: loan.tokens(),
-            depth: out.depth,
-            ticket: out.ticket.as_ref().map(|ticket| ticket.to_string().into()),
-            first_attempt: out.first_attempt,
-            exclusive,
-            request: Arc::clone(&out.request),
-        }
-    }
-
     async fn send(
         self: &Arc<Self>,
         target: Target,
@@ -348,6 +323,27 @@
     }
 }
 
+impl Outgoing {
+    /// The call that takes the request to one worker.
+    fn call(&self, target: Target, remaining_us: u64, loan: &Loan, exclusive: bool) -> Call {
+        Call {
+            request_id: self.request_id,
+            service: self.service.clone(),
+            class: self.class.clone(),
+            importance: self.importance,
+            idempotent: self.idempotent,
+            incarnation: target.incarnation,
+            remaining_us,
+            retry_tokens: loan.tokens(),
+            depth: self.depth,
+            ticket: self.ticket.as_ref().map(|ticket| ticket.to_string().into()),
+            first_attempt: self.first_attempt,
+            exclusive,
+            request: Arc::clone(&self.request),
+        }
+    }
+}
+
 impl Trail {
     /// What the sender is told, in view of all sends.
     fn conclude(&self, refusal: Refusal) -> Refusal {
--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -11,9 +11,9 @@
 
 const BOTH: [(&str, u32); 2] = [("orders", 512), ("orders", 512)];
 
-fn reads(world: &World, at: usize, word: &str, count: u128) -> impl Future<Output = Vec<Said>> {
+fn reads(world: &World, at: usize, task: &str, count: u128) -> impl Future<Output = Vec<Said>> {
     join_all((0..count).map(move |number| {
-        let read = incoming("orders", "read", &format!("/{word}-{number}"), number);
+        let read = incoming("orders", "read", &format!("/{task}-{number}"), number);
         world.ask(at, read, 4_000)
     }))
 }
--- a/tests/node/faults.rs
+++ b/tests/node/faults.rs
@@ -63,11 +63,18 @@
     pub(crate) on_their_way: usize,
 }
 
+/// How the network ends a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    Whole,
+    Refused,
+    LostBefore,
+    LostAfter,
+}
+
 /// What becomes of one call.
 pub(crate) struct Fate {
-    pub(crate) is_refused: bool,
-    pub(crate) is_lost_before: bool,
-    pub(crate) is_lost_after: bool,
+    pub(crate) end: End,
     pub(crate) is_duplicated: bool,
     pub(crate) delay_ms: u64,
 }
@@ -82,9 +89,15 @@
         let mut rng = rng.lock();
         let mut hits = |share: u64| rng.random_range(0..100) < share;
         Fate {
-            is_refused: hits(self.refused) || self.is_cut(from, to),
-            is_lost_before: hits(self.lost_before),
-            is_lost_after: hits(self.lost_after),
+            end: if hits(self.refused) || self.is_cut(from, to) {
+                End::Refused
+            } else if hits(self.lost_before) {
+                End::LostBefore
+            } else if hits(self.lost_after) {
+                End::LostAfter
+            } else {
+                End::Whole
+            },
             is_duplicated: hits(self.duplicated),
             delay_ms: rng.random_range(0..=self.delay_ms),
         }
--- a/tests/node/servers.rs
+++ b/tests/node/servers.rs
@@ -232,8 +232,8 @@
     ) -> BoxFuture<'a, Option<Answer>> {
         Box::pin(async move {
             let life = self.servers.life(at);
-            let (word, name) = request.target[1..].split_once('/').expect("a path");
-            match word {
+            let (task, name) = request.target[1..].split_once('/').expect("a path");
+            match task {
                 "slow" => {
                     let work_ms = name.split('-').next().expect("a number").parse();
                     self.servers
--- a/tests/node/turns.rs
+++ b/tests/node/turns.rs
@@ -79,8 +79,8 @@
     fn end(&mut self, now_ms: u64) {
         for key in self.ends.remove(&now_ms).unwrap_or_default() {
             let mut actions = Vec::new();
-            let now_us = now_ms * 1_000;
-            self.gate.finish(key, Finish::Done, now_us, &mut actions);
+            self.gate
+                .finish(key, Finish::Done, now_ms * 1_000, &mut actions);
             let since_ms = self.since_ms[&key];
             let is_suspect = self.suspects.contains(&key);
             self.tally.suspects_answered += u64::from(is_suspect);
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        faults::{Net, Weather},
+        faults::{End, Net, Weather},
         servers::{Run, Servers},
     },
     async_io::Timer,
@@ -377,11 +377,11 @@
             detail: "fault".into(),
             may_have_run,
         };
-        if fate.is_refused {
+        if fate.end == End::Refused {
             return Err(error("connect", false));
         }
         pause_ms(fate.delay_ms).await;
-        if fate.is_lost_before {
+        if fate.end == End::LostBefore {
             return Err(error("send", true));
         }
         if fate.is_duplicated {
@@ -396,7 +396,7 @@
         };
         let served = node.serve(call);
         match select(served, Box::pin(broken)).await {
-            Either::Left((reply, _)) if !fate.is_lost_after => Ok(reply),
+            Either::Left((reply, _)) if fate.end != End::LostAfter => Ok(reply),
             _ => Err(error("wait for reply", true)),
         }
     }
