--- a/lab/src/round/host.rs
+++ b/lab/src/round/host.rs
@@ -286,17 +286,12 @@
         daemon && self.get(self.backend_address, "/health").await
     }
 
-    /// Gives the daemon an operator's statements.
-    pub(super) async fn ask(&self, statements: &str) -> Result<(), SmolStr> {
-        let client = Client::new(self.settings.operators);
-        let mut request = client.request(Method::Post, "/ask");
-        request.set_body(statements);
-        match client.send_within(request, ASK_WAIT).await {
-            Some(Ok(answer)) if answer.status < 300 => Ok(()),
-            Some(Ok(answer)) => Err(String::from_utf8_lossy(&answer.body).to_smolstr()),
-            Some(Err(error)) => Err(error.to_smolstr()),
-            None => Err("no answer in time".into()),
-        }
+    /// Gives the daemon an operator's statements; returns its answer.
+    pub(super) fn ask(
+        &self,
+        statements: &str,
+    ) -> impl Future<Output = Result<SmolStr, SmolStr>> + Send + 'static {
+        ask(self.settings.operators, statements.to_owned())
     }
 
     /// Gives the backend server a command of the lab.
@@ -330,6 +325,25 @@
     }
 }
 
+async fn ask(daemon: SocketAddr, statements: String) -> Result<SmolStr, SmolStr> {
+    let client = Client::new(daemon);
+    let mut request = client.request(Method::Post, "/ask");
+    request.set_body(statements);
+    match client.send_within(request, ASK_WAIT).await {
+        Some(Ok(answer)) => {
+            let text = String::from_utf8_lossy(&answer.body);
+            let text = text.trim().to_smolstr();
+            if answer.status < 300 {
+                Ok(text)
+            } else {
+                Err(text)
+            }
+        }
+        Some(Err(error)) => Err(error.to_smolstr()),
+        None => Err("no answer in time".into()),
+    }
+}
+
 fn daemon_settings(
     scenario: &Scenario,
     round: &RoundSettings,
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,11 +9,13 @@
         config::Config,
         control::enforced::Live,
         directory::Directory,
+        entry::Outgoing,
         ingress::{Handle, Incoming, Origin},
         local::{Local, LocalRules, Now},
         metrics::Metrics,
         policy::{
             bind::{BindLimits, Binder},
+            floor::Floor,
             once::OnceLimits,
             paths::PathLevels,
             retry::{AccountKey, CallerRatio, RetryRatio},
@@ -60,6 +62,8 @@
     pub edge_paths: Mutex<PathLevels>,
     /// Levels that the local worker's nested calls have met.
     pub nested_paths: Mutex<PathLevels>,
+    /// Order among classes across services.
+    pub floor: Mutex<Floor>,
     /// Resends of callers.
     pub callers: Mutex<CallerRatio>,
     /// Retries to each service.
@@ -117,6 +121,7 @@
             live: parts.live,
             edge_paths: Mutex::default(),
             nested_paths: Mutex::default(),
+            floor: Mutex::default(),
             ratios: Mutex::default(),
             binder,
             traces: Mutex::default(),
@@ -210,7 +215,6 @@
         if out.needs_ticket() && !self.is_baseline() {
             self.bind(&mut out).await.map_err(early)?;
         }
-        self.forward(&out).await
     }
 
     /// Records what happened to a request.
