Bound time and connections on the operators' and announcement ports

Cause: their listener had no limit on connections and a long one on heads.

Change: both are served as callers' connections are, with at most 64 at a time and ten seconds for a head.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        connection::{self, PortLimits},
         local::{Loss, Now},
         node::Node,
         policy::drain::{Asked, Drain, Order, Stage},
@@ -34,7 +35,7 @@
 pub async fn listen(addr: SocketAddr, node: Arc<Node>) -> io::Result<()> {
     let mut app = tide::with_state(node);
     app.at("/worker").put(announce).delete(leave);
-    app.listen(addr).await
+    connection::listen(addr, app, PortLimits::default()).await
 }
 
 async fn announce(mut request: tide::Request<Arc<Node>>) -> tide::Result {
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -4,22 +4,43 @@
     crate::{
         framed::Framed,
         ingress::{new_request_id, status_of},
-        request::Refusal,
+        request::{Reason, Refusal},
     },
     async_h1::server::{ConnectionStatus, Server},
     async_io::Timer,
-    async_std::net::TcpStream,
+    async_std::{
+        net::{TcpListener, TcpStream},
+        task,
+    },
     futures::{
         AsyncReadExt, AsyncWriteExt,
         future::{Either, select},
     },
     parking_lot::Mutex,
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
 };
 
 /// Time for a client to read the answer after which the daemon closes the connection.
 const LINGER_MS: u64 = 200;
 
+/// Bounds on the input of a port that few use.
+#[derive(Debug, Clone, Copy)]
+pub struct PortLimits {
+    /// Connections at one time; more are closed at once.
+    pub max_connections: usize,
+    /// Time in which a sender has to finish a head.
+    pub read_timeout_ms: u64,
+}
+
+impl Default for PortLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 64,
+            read_timeout_ms: 10_000,
+        }
+    }
+}
+
 /// How far the exchange on one connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -44,6 +65,37 @@
     AnswerStalled,
 }
 
+/// Serves a small number of connections of an app until the listener fails.
+///
+/// # Errors
+///
+/// Fails when connections can no longer be accepted.
+pub async fn listen<S>(addr: SocketAddr, app: tide::Server<S>, limits: PortLimits) -> io::Result<()>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let places = Arc::new(());
+    loop {
+        let (stream, _) = listener.accept().await?;
+        if Arc::strong_count(&places) > limits.max_connections {
+            continue;
+        }
+        let (app, place) = (app.clone(), Arc::clone(&places));
+        task::spawn(async move {
+            let framed = Framed::new(stream.clone());
+            match serve(&framed, &app, limits.read_timeout_ms).await {
+                End::Malformed | End::HeadOverdue => {
+                    refuse(stream, Refusal::not_run(Reason::BadRequest)).await;
+                }
+                End::Clean => linger(stream).await,
+                End::AnswerStalled => {}
+            }
+            drop(place);
+        });
+    }
+}
+
 /// Serves one connection until it ends.
 pub(crate) async fn serve<S>(framed: &Framed, app: &tide::Server<S>, read_timeout_ms: u64) -> End
 where
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -4,6 +4,7 @@
     crate::{
         ask::{executor::Executor, route, secret::Secret},
         cmd::CommandError,
+        connection::{self, PortLimits},
     },
     async_h1::client,
     async_io::Timer,
@@ -37,7 +38,7 @@
             let describe = Arc::clone(&describe);
             async move { Ok(dump(&request, describe.as_ref())) }
         });
-    app.listen(addr).await
+    connection::listen(addr, app, PortLimits::default()).await
 }
 
 fn dump(request: &tide::Request<Arc<Executor>>, describe: &dyn Describe) -> tide::Response {
--- /dev/null
+++ b/tests/ports.rs
@@ -0,0 +1,74 @@
+//! Operators' and announcement ports: slow, malformed and too many connections.
+
+use {
+    async_std::task,
+    shallotdeal::connection::{self, PortLimits},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        time::Duration,
+    },
+};
+
+const SHORT_MS: u64 = 300;
+const LONG_MS: u64 = 60_000;
+const PATIENCE: Duration = Duration::from_secs(20);
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+
+fn serve(read_timeout_ms: u64) -> SocketAddr {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = free.local_addr().unwrap();
+    drop(free);
+    let limits = PortLimits {
+        max_connections: 2,
+        read_timeout_ms,
+    };
+    let mut app = tide::new();
+    app.at("/").get(|_| async { Ok("whole") });
+    task::spawn(connection::listen(addr, app, limits));
+    addr
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    loop {
+        if let Ok(stream) = TcpStream::connect(addr) {
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            return stream;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends bytes and reads until the other side closes; empty if it closed at once.
+fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = connect(addr);
+    let _ = stream.write_all(bytes);
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    text
+}
+
+fn until_served(addr: SocketAddr) {
+    while !exchange(addr, GET).ends_with("whole") {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn malformed_and_stalled_heads_are_refused() {
+    let addr = serve(SHORT_MS);
+    for bytes in [&b"nonsense\r\n\r\n"[..], b"GET / HTTP/1.1\r\nhost"] {
+        until_served(addr);
+        let text = exchange(addr, bytes);
+        assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
+    }
+}
+
+#[test]
+fn connections_beyond_the_limit_are_closed_and_places_come_back() {
+    let addr = serve(LONG_MS);
+    let held = [connect(addr), connect(addr)];
+    assert_eq!(exchange(addr, GET), "");
+    drop(held);
+    until_served(addr);
+}
