--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -63,6 +63,7 @@
 /// Number with the digits that its size deserves.
 pub fn number(value: f64) -> String {
     let digits = match value.abs() {
+        _ if (value - value.round()).abs() < 1e-9 => 0,
         size if size >= 100.0 => 0,
         size if size >= 10.0 => 1,
         _ => 2,
@@ -108,13 +109,7 @@
     for (name, series) in &slopes.series {
         let points = series.points.iter();
         let points: Vec<_> = points
-            .map(|(at, value)| {
-                format!(
-                    "{}: {}",
-                    number(at.round()).trim_end_matches(".00"),
-                    number(*value)
-                )
-            })
+            .map(|(at, value)| format!("{}: {}", number(*at), number(*value)))
             .collect();
         rows.push(row([
             name,
--- a/lab/src/capacity/store.rs
+++ b/lab/src/capacity/store.rs
@@ -23,9 +23,10 @@
 const MAX_BACKOFF_S: f64 = 5.0;
 const S_PER_MIN: f64 = 60.0;
 const MS_PER_S: f64 = 1_000.0;
-/// Calls of a daemon that starts: first contacts and configuration.
-const START_CALLS: f64 = 2.0;
-/// Calls that take a free entry of first contacts: a lease, an entry.
+/// Reads of a daemon that starts: first contacts, configuration, free entries of first contacts.
+const START_READS: f64 = 3.0;
+/// Writes that try for a free entry of first contacts: a lease, an entry. A daemon that starts knows
+/// of no other one, so all that start together try.
 const SEED_WRITES: f64 = 2.0;
 
 /// Calls in one situation.
@@ -60,22 +61,22 @@
         ),
         more(
             "one data centre starts empty within one second",
-            plan.members() * START_CALLS,
-            entries,
+            plan.members() * START_READS,
+            plan.members() * SEED_WRITES,
         ),
         more(
             "all daemons start within one second",
-            plan.daemons * START_CALLS,
-            plan.data_centres() * entries,
+            plan.daemons * START_READS,
+            plan.daemons * SEED_WRITES,
         ),
         more(
             &format!("{:.0} VMs replaced over a day", plan.replaced_per_day),
-            replaced * START_CALLS,
-            replaced * SEED_WRITES,
+            replaced * START_READS,
+            0.0,
         ),
         more(
             &format!("a rack of {:.0} replaced within one second", plan.rack),
-            plan.rack * START_CALLS,
+            plan.rack * START_READS,
             entries,
         ),
         more("bindings of callers' keys at their limit", 0.0, bindings),
--- a/lab/src/cmd/slopes.rs
+++ b/lab/src/cmd/slopes.rs
@@ -23,7 +23,7 @@
 };
 
 const COMMAND: &str = "cargo build --release -p shallotdeal -p lab && target/release/lab slopes";
-const DEFAULT_NET: u8 = 60;
+const DEFAULT_NET: u8 = 77;
 const DEFAULT_OUT: &str = "docs/capacity/slopes.json";
 const DEFAULT_SCENARIO: &str = "lab/scenarios/overhead.ini";
 
--- a/lab/src/cmd/slopes/views.rs
+++ b/lab/src/cmd/slopes/views.rs
@@ -129,7 +129,15 @@
 /// Spread of changes that two readers learn first, by members.
 pub(super) fn spread(slopes: &mut Slopes) {
     let sizes = [10, 50, 150];
-    let spreads = sizes.map(|members| (members as f64, Spread::of(members)));
+    let spreads = sizes.map(|members| (members as f64, Spread::of(members, Peer::Last)));
+    let at_random = sizes.map(|members| {
+        (
+            members as f64,
+            Spread::of(members, Peer::Random).most_served,
+        )
+    });
+    let series = Series::new("members", "documents", at_random.to_vec());
+    slopes.add("config-served-if-random", series);
     let mut add = |name, unit, of: fn(&Spread) -> f64| {
         let points = spreads
             .iter()
@@ -141,7 +149,7 @@
 }
 
 impl Spread {
-    fn of(members: usize) -> Self {
+    fn of(members: usize, peer: Peer) -> Self {
         let mut net = centre(SEED, members);
         let phases: Vec<u64> = (0..members).map(|_| net.rng.next_u64() % POLL_US).collect();
         let mut served = vec![0; members];
@@ -160,7 +168,7 @@
                 net.run(STEP_US);
                 for (at, phase_us) in phases.iter().enumerate() {
                     if (net.now_us + phase_us) % POLL_US < STEP_US {
-                        poll(&mut net, at, &mut served);
+                        poll(&mut net, at, peer, &mut served);
                     }
                 }
             }
@@ -175,22 +183,34 @@
 }
 
 /// Lets a daemon fetch the newest configuration that it hears of, as the daemon's task does.
-fn poll(net: &mut Net, at: usize, served: &mut [u32]) {
+fn poll(net: &mut Net, at: usize, peer: Peer, served: &mut [u32]) {
     let fleet = &net.nodes[at].fleet;
     let live = fleet.members().filter(|member| member.status.is_live());
-    let Some(newest) = live.max_by_key(|member| member.revision) else {
+    let Some(revision) = live.map(|member| member.revision).max() else {
         return;
     };
-    let revision = newest.revision;
     if revision <= fleet.me().revision {
         return;
     }
-    let from = net
-        .nodes
-        .iter()
-        .position(|node| node.fleet.me().place.name == newest.place.name);
-    if let Some(from) = from {
+    let live = fleet.members().filter(|member| member.status.is_live());
+    let newest = live.filter(|member| member.revision == revision);
+    let newest: Vec<_> = newest.map(|member| member.place.name.clone()).collect();
+    let chosen = match peer {
+        Peer::Last => newest.len() - 1,
+        Peer::Random => net.rng.next_u64() as usize % newest.len(),
+    };
+    let mut nodes = net.nodes.iter();
+    if let Some(from) = nodes.position(|node| node.fleet.me().place.name == newest[chosen]) {
         served[from] += 1;
     }
     net.nodes[at].fleet.set_revision(revision);
 }
+
+/// Which daemon of those with the newest revision is asked.
+#[derive(Clone, Copy)]
+enum Peer {
+    /// The last one in the order of the own view, as the daemon does.
+    Last,
+    /// Any.
+    Random,
+}
--- a/lab/src/slopes/daemons.rs
+++ b/lab/src/slopes/daemons.rs
@@ -216,6 +216,12 @@
         for settings in &daemons.settings {
             wait_for(settings).await?;
         }
+        // Another run on the same addresses would answer in place of a daemon that could not start.
+        for process in &mut daemons.processes {
+            if let Some(status) = process.ended() {
+                return Err(SlopesError::new("run daemon", &status));
+            }
+        }
         Ok(daemons)
     }
 
