Count all three reads of a daemon that starts

The failures table still told two reads a daemon; a data centre that starts empty makes 450. The store table had them.

--- a/lab/src/capacity/failures.rs
+++ b/lab/src/capacity/failures.rs
@@ -66,7 +66,7 @@
             number(plan.data_centres() - 1.0),
             number(plan.services_of_centre()),
             number(members),
-            number(members * 2.0)
+            number(members * 3.0)
         ),
         "12 s until others count it as cut off; a joiner knows all offers after 8.35 s at 50 members each (`fleet_slopes centres 50`)",
         &format!(
