--- a/src/entry.rs
+++ b/src/entry.rs
@@ -156,8 +156,7 @@
         let fingerprint = incoming.fingerprint();
         let class = incoming.class.unwrap_or_else(|| DEFAULT_CLASS.into());
         let rule = config.class(&class);
-        let is_named = config.classes.contains_key(&class) && class != DEFAULT_CLASS;
-        let idempotent = rule.idempotent || (!is_named && is_safe(&incoming.request.method));
+        let idempotent = is_idempotent(config, &class, &incoming.request.method);
         let timeout_ms = incoming.timeout_ms.unwrap_or(u64::from(rule.deadline_ms));
         if timeout_ms == 0 {
             return Err(Refusal::not_run(Reason::Deadline));
@@ -242,6 +241,11 @@
     }
 }
 
+fn is_idempotent(config: &Config, class: &str, method: &str) -> bool {
+    let is_named = config.classes.contains_key(class) && class != DEFAULT_CLASS;
+    config.class(class).idempotent || (!is_named && is_safe(method))
+}
+
 /// Safe methods are idempotent whatever the class.
 fn is_safe(method: &str) -> bool {
     matches!(method, "GET" | "HEAD" | "OPTIONS")
--- a/src/node.rs
+++ b/src/node.rs
@@ -197,17 +197,16 @@
 
 impl Node {
     async fn answer(self: &Arc<Self>, incoming: Incoming) -> Result<Arc<Answer>, Refusal> {
-        let _relay = Relay::enter(self)?;
-        let is_first = incoming.is_first();
-        let entered = self.enter(incoming, self.clock.now_us());
-        let mut out = entered.map_err(|refusal| refusal.doubt(!is_first))?;
+        let is_first = incoming.is_first() || matches!(incoming.origin, Origin::Nested(_));
+        let early = |refusal: Refusal| refusal.doubt(!is_first);
+        let _relay = Relay::enter(self).map_err(early)?;
+        let mut out = self.enter(incoming, self.clock.now_us()).map_err(early)?;
         let _account = out.parent.is_none().then(|| Opened {
             node: self,
             account: out.account,
         });
         if out.needs_ticket() && !self.is_baseline() {
-            let bound = self.bind(&mut out).await;
-            bound.map_err(|refusal| refusal.doubt(!is_first))?;
+            self.bind(&mut out).await.map_err(early)?;
         }
         if out.parent.is_some() || self.is_baseline() {
             return self.forward(&out).await;
@@ -236,7 +235,8 @@
         };
         let is_shed = matches!(refusal.reason, Reason::Overload | Reason::WorkerFull);
         if is_shed && !out.idempotent {
-            self.floor.lock().refused(out.importance, self.clock.now_us());
+            let now_us = self.clock.now_us();
+            self.floor.lock().refused(out.importance, now_us);
         }
     }
 
