--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -1,6 +1,6 @@
 //! Stand-in backend server: slots, service times, nested calls, and a record of every run.
 
-mod announce;
+pub(crate) mod announce;
 mod answer;
 mod server;
 mod work;
--- a/lab/src/backend/announce.rs
+++ b/lab/src/backend/announce.rs
@@ -34,7 +34,11 @@
     matches!(client.send_within(request, ANSWER_WAIT).await, Some(Ok(answer)) if answer.status < 300)
 }
 
-async fn exchange(client: &Client, announcement: &Announcement) -> Option<AnnouncementAnswer> {
+/// Announces the backend server once.
+pub(crate) async fn exchange(
+    client: &Client,
+    announcement: &Announcement,
+) -> Option<AnnouncementAnswer> {
     let mut request: Request = client.request(Method::Put, WORKER);
     request.set_body(http_types::Body::from_json(announcement).ok()?);
     let answer = client.send_within(request, ANSWER_WAIT).await?.ok()?;
--- a/lab/src/cmd.rs
+++ b/lab/src/cmd.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod call;
 mod capacity;
+mod fleet;
 mod overhead;
 mod run;
 mod slopes;
@@ -96,6 +97,19 @@
             /// Records of that state.
             optional --count count: u64
         }
+        /// Measures how fast a fleet of daemons learns of changes, and what it costs at rest.
+        cmd fleet {
+            /// Daemons of the fleet.
+            required --daemons count: usize
+            /// Data centres that they are spread over; 2 by default.
+            optional --data-centres count: usize
+            /// Binary of the daemon; beside this one by default.
+            optional --daemon file: PathBuf
+            /// Second part of the IP numbers that are used; 70 by default.
+            optional --net number: u8
+            /// Print JSON.
+            optional --json
+        }
         /// Writes the tables of the capacity page from the data file.
         cmd capacity {
             /// Data file; `docs/capacity/slopes.json` by default.
@@ -117,6 +131,7 @@
         LabCmd::Run(flags) => run::run(&flags),
         LabCmd::Overhead(flags) => overhead::run(&flags),
         LabCmd::Slopes(flags) => slopes::run(&flags),
+        LabCmd::Fleet(flags) => fleet::run(&flags),
         LabCmd::Capacity(flags) => capacity::run(&flags),
     };
     match result {
--- /dev/null
+++ b/lab/src/fleet/watch.rs
@@ -0,0 +1,65 @@
+//! What daemons show of the fleet in their dumps.
+
+use serde_json::Value;
+
+/// Dumps of all daemons at about one time; `None` is a daemon that did not answer.
+pub(super) type Look = Vec<Option<Sight>>;
+
+/// Dump of one daemon.
+#[derive(Debug, Clone)]
+pub(super) struct Sight(pub(super) Value);
+
+/// One member of the data centre, as a daemon sees it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Member<'s>(&'s Value);
+
+impl Sight {
+    pub(super) fn revision(&self) -> u64 {
+        self.0["configuration"]["revision"].as_u64().unwrap_or(0)
+    }
+
+    pub(super) fn gossip(&self, total: &str) -> u64 {
+        self.0["gossip"][total].as_u64().unwrap_or(0)
+    }
+
+    /// Other data centres that it knows.
+    pub(super) fn centres(&self) -> usize {
+        self.0["fleet"]["centres"]
+            .as_object()
+            .map_or(0, serde_json::Map::len)
+    }
+
+    /// Other members that are alive and have a worker.
+    pub(super) fn workers(&self) -> usize {
+        let members = self.0["fleet"]["members"].as_object();
+        let members = members.into_iter().flat_map(serde_json::Map::values);
+        members.filter(|it| Member(it).has_worker()).count()
+    }
+
+    pub(super) fn offers(&self, service: &str) -> bool {
+        let offers = self.0["fleet"]["offers"][service].as_array();
+        offers.is_some_and(|offers| !offers.is_empty())
+    }
+
+    pub(super) fn member(&self, name: &str) -> Option<Member<'_>> {
+        self.0["fleet"]["members"].get(name).map(Member)
+    }
+}
+
+impl Member<'_> {
+    pub(super) fn is_alive(self) -> bool {
+        self.0["member"]["status"] == "Alive"
+    }
+
+    pub(super) fn is_dead(self) -> bool {
+        self.0["member"]["status"] == "Dead"
+    }
+
+    pub(super) fn has_worker(self) -> bool {
+        self.is_alive() && self.0["member"]["worker"].is_object()
+    }
+
+    pub(super) fn is_draining(self) -> bool {
+        self.0["member"]["worker"]["draining"] == true
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod capacity;
 pub mod client;
+pub mod fleet;
 pub mod forward;
 pub mod history;
 pub mod judge;
