--- a/src/config/apply.rs
+++ b/src/config/apply.rs
@@ -8,8 +8,8 @@
 
 const MAX_ORDERS: usize = 1_024;
 const MAX_LIFTED: usize = 512;
-const MAX_HISTORY: usize = 256;
-const MAX_HISTORY_BYTES: usize = 160 << 10;
+const MAX_HISTORY: usize = 64;
+const MAX_HISTORY_BYTES: usize = 32 << 10;
 
 impl Config {
     /// Configuration after the proposed change.
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,9 @@
     std::sync::Arc,
 };
 
+/// Part of a minute's store calls that may be made at once, as a divisor.
+const BURST_SHARE: u32 = 8;
+
 /// Cells in which callers' resends are counted.
 const CALLER_CELLS: usize = 4_096;
 
@@ -104,7 +107,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
         let binder = Binder::new(BindLimits {
             calls_per_min: parts.settings.limits.store_calls_per_min,
-            burst: parts.settings.limits.store_calls_per_min.div_ceil(2),
+            burst: parts.settings.limits.store_calls_per_min.div_ceil(BURST_SHARE),
             ..BindLimits::default()
         });
         let rules = local_rules(&parts.settings, &parts.live.config());
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -212,7 +212,7 @@
             order_records: self.number("order-records", 100_000, 1..=10_000_000) as usize,
             answer_memory_bytes: self.number("answer-memory-bytes", 32 << 20, 0..=1 << 32) as usize,
             region_link_bytes_per_s: self.number("region-link-bytes-per-s", 3_000_000, 0..=1 << 40),
-            store_calls_per_min: self.number("store-calls-per-minute", 24, 0..=60_000) as u32,
+            store_calls_per_min: self.number("store-calls-per-minute", 10, 0..=60_000) as u32,
         }
     }
 
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -21,7 +21,7 @@
     parking_lot::Mutex,
     rand::RngExt,
     smol_str::SmolStr,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, ops::Range, sync::Arc, time::Duration},
 };
 
 /// Interval at which the fleet is told of the local worker.
@@ -30,6 +30,9 @@
 /// Interval at which newer configurations are looked for at other daemons.
 const CONFIG_MS: u64 = 250;
 
+/// Pause between learning first contacts and keeping one.
+const SEEK_PAUSE_MS: Range<u64> = 2_000..12_000;
+
 /// Suspects in one digest.
 const DIGEST_DEATHS: usize = 5;
 
@@ -123,13 +126,18 @@
         if let Ok(contacts) = seeds.contacts(node.store.as_ref()).await {
             fleet.lock().join(&contacts);
         }
+        // Daemons that start together know each other by then, and leave the entries to a few.
+        let pause_ms = node.rng.lock().random_range(SEEK_PAUSE_MS);
+        Timer::after(Duration::from_millis(pause_ms)).await;
         let live = fleet.lock().live_members();
         let draw = node.rng.lock().random();
         if let Err(error) = seeds.visit(node.store.as_ref(), live, draw).await {
             node.metrics.count("seeds.failed");
             tracing::debug!(%error, "first contacts not kept");
         }
-        Timer::after(Duration::from_millis(u64::from(SEED_INTERVAL_MS))).await;
+        if live > 1 {
+            Timer::after(Duration::from_millis(u64::from(SEED_INTERVAL_MS))).await;
+        }
     }
 }
 
