--- a/src/sync.rs
+++ b/src/sync.rs
@@ -31,7 +31,7 @@
 const CONFIG_MS: u64 = 250;
 
 /// Pause between learning first contacts and keeping one.
-const SEEK_PAUSE_MS: Range<u64> = 2_000..12_000;
+pub const SEEK_PAUSE_MS: Range<u64> = 2_000..32_000;
 
 /// Suspects in one digest.
 const DIGEST_DEATHS: usize = 5;
