--- a/tests/node/tree.rs
+++ b/tests/node/tree.rs
@@ -18,6 +18,8 @@
     ("stock", 512),
 ];
 const ALLOWANCE: usize = 2;
+/// Times that a caller sends its request, until it is answered.
+const SENDS: u32 = 4;
 const FAILING: u64 = 4;
 /// Sends of a caller that does not give up, each to any daemon.
 const SENDS: u32 = 4;
@@ -54,9 +56,9 @@
         (net.lost_before, net.lost_after, net.refused, net.delay_ms) = (2, 2, 2, 2);
     }
     let events = async {
+        let at = world.draw(SERVICES.len() as u64) as usize;
         let mut said = Said::Nothing;
         for attempt in 1..=SENDS {
-            let at = world.draw(SERVICES.len() as u64) as usize;
             let mut read = incoming("orders", "read", "/tree/r", 1);
             read.attempt = attempt;
             said = world.ask(at, read, 4_000).await;
