--- a/tests/node/tree.rs
+++ b/tests/node/tree.rs
@@ -21,8 +21,6 @@
 /// Times that a caller sends its request, until it is answered.
 const SENDS: u32 = 4;
 const FAILING: u64 = 4;
-/// Sends of a caller that does not give up, each to any daemon.
-const SENDS: u32 = 4;
 
 /// A place of the tree: three calls below each, four deep.
 fn place(world: &World) -> String {
