--- a/src/forward.rs
+++ b/src/forward.rs
@@ -212,7 +212,11 @@
         self.note_path_level(out, reply.path_level);
         picked.end(Ended::Answered);
         let refusal = match reply.result {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                let now_unix_ms = self.clock.now_unix_ms();
+                self.local.lock().clear(out.fingerprint, now_unix_ms);
+                return Ok(answer);
+            }
             Err(refusal) => refusal,
         };
         trail.may_have_run |= refusal.outcome == Outcome::Unknown;
