Use the fleet's own list of lagging daemons, and drop two unused functions

Cause: the confirmation of a change wrote the fleet's list again; Local::service and PathLevels::lowest had no caller. Change: one list serves both; the two functions are gone. Behaviour stays as it is.

--- a/src/local.rs
+++ b/src/local.rs
@@ -17,7 +17,6 @@
     },
     derive_more::Display,
     futures::channel::oneshot,
-    smol_str::SmolStr,
 };
 
 /// Identity of one running call; the backend server shows it with nested calls.
@@ -225,11 +224,4 @@
             let _ = exit.send(());
         }
     }
-
-    /// Name of the service that the worker offers.
-    pub fn service(&self) -> Option<SmolStr> {
-        self.worker
-            .as_ref()
-            .map(|worker| worker.announcement.service.clone())
-    }
 }
--- a/src/policy/paths.rs
+++ b/src/policy/paths.rs
@@ -164,16 +164,6 @@
         Err(refusal.retry_after_ms(advice_ms(level, rank)))
     }
 
-    /// Lowest level over all services called for this importance; what an answer carries back
-    /// beside the gate's own level.
-    pub fn lowest(&self, importance: Importance, now_us: u64) -> Level {
-        self.services
-            .keys()
-            .map(|service| self.level(service, importance, now_us))
-            .min()
-            .unwrap_or(Level::OPEN)
-    }
-
     /// Forgets services that no answer has refreshed for long.
     pub fn expire(&mut self, now_us: u64) {
         self.services.retain(|_, entries| {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -58,15 +58,12 @@
 impl Confirmations for FleetView {
     fn lagging(&self, revision: Revision) -> Vec<SmolStr> {
         let fleet = self.0.lock();
-        let own = fleet
-            .members()
-            .filter(|member| member.status.is_live() && member.revision < revision)
-            .map(|member| member.place.name.clone());
+        let own = fleet.lagging(revision);
         let others = fleet.remote().centres().iter();
         let others = others
             .filter(|(_, centre)| centre.revision_min < revision)
             .map(|(data_centre, _)| data_centre.0.clone());
-        own.chain(others).collect()
+        own.into_iter().chain(others).collect()
     }
 }
 
