--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -1,12 +1,28 @@
 use {
-    super::{CommandError, Run, args::Daemon, load},
-    crate::{daemon, logs},
+    super::{Any, CommandError, Run, args::Daemon, load},
+    crate::{
+        daemon, logs,
+        mesh::daemon::{self as mesh_daemon, Platform},
+        platform::{WireProtocol, WireStore},
+    },
+    std::rc::Rc,
 };
 
 impl Run for Daemon {
     fn run(&self) -> Result<(), CommandError> {
-        let settings = load(&self.config)?;
-        logs::init(&settings.log);
-        Ok(daemon::run(settings)?)
+        match load(&self.config)? {
+            Any::Standalone(settings) => {
+                logs::init(&settings.log);
+                Ok(daemon::run(*settings)?)
+            }
+            Any::Mesh(settings) => {
+                let _writer = logs::init_mesh(settings.log_level);
+                let platform = Platform {
+                    protocol: Rc::new(WireProtocol),
+                    catalog: Rc::new(WireStore::new(settings.store_addr)),
+                };
+                Ok(mesh_daemon::run(*settings, self.config.clone(), platform)?)
+            }
+        }
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,7 +10,10 @@
 pub use args::{Shallotdeal, ShallotdealCmd};
 
 use {
-    crate::settings::{Faults, Settings},
+    crate::{
+        mesh::{self, settings::MeshSettings},
+        settings::{Faults, Settings},
+    },
     derive_more::{Display, Error, From},
     smol_str::SmolStr,
     std::{path::Path, process::ExitCode},
@@ -113,11 +116,23 @@
     }
 }
 
+/// Settings of either kind of daemon.
+enum Any {
+    /// Daemon that gossips and takes operators' changes itself.
+    Standalone(Box<Settings>),
+    /// Daemon on the users' platform.
+    Mesh(Box<MeshSettings>),
+}
+
 /// Reads and checks a settings file.
-fn load(path: &Path) -> Result<Settings, CommandError> {
+fn load(path: &Path) -> Result<Any, CommandError> {
     let text = std::fs::read_to_string(path).map_err(|error| CommandError::File {
         path: path.display().to_string().into(),
         error,
     })?;
-    Ok(Settings::try_from(text.as_str())?)
+    let text = text.as_str();
+    if mesh::settings::is_mesh(text) {
+        return Ok(Any::Mesh(Box::new(MeshSettings::try_from(text)?)));
+    }
+    Ok(Any::Standalone(Box::new(Settings::try_from(text)?)))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,12 +29,15 @@
 pub mod ingress;
 pub mod local;
 pub mod logs;
+pub mod mesh;
 pub mod metrics;
 pub mod net;
 pub mod node;
 pub mod operators;
 pub mod order;
 pub mod place;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod policy;
 pub mod request;
 pub mod rpc;
--- /dev/null
+++ b/src/mesh/directory.rs
@@ -0,0 +1,406 @@
+//! Workers of all services, and the choice of one for a request.
+//!
+//! The choice minimises the expected time to an answer: queue and speed from the gates' replies,
+//! calls sent since the last reply, failures, and the cost of leaving the data centre. It answers
+//! four load patterns: workers of unequal speed, a cold worker, a worker that fails part of its
+//! requests, and a data centre whose own workers are full.
+
+use {
+    crate::{
+        collections::HashMap,
+        mesh::frame::{GateLoad, WorkerLife},
+        place::{DataCentre, Region},
+        request::ServiceName,
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde::{Deserialize, Serialize},
+    slotmap::{SlotMap, new_key_type},
+    smol_str::SmolStr,
+    std::net::SocketAddr,
+};
+
+new_key_type! {
+    /// Key of one VM's worker.
+    pub struct MemberKey;
+}
+
+/// Extra time that is accepted before a request leaves its data centre, as bytes between data
+/// centres are paid for.
+const OTHER_CENTRE_US: f64 = 15_000.0;
+
+/// Extra time that is accepted before a request leaves its region; those bytes cost eight times as
+/// much, and the way there and back takes 24 ms at both users' sites.
+const OTHER_REGION_US: f64 = 120_000.0;
+
+/// Time that a failed send costs a request: detection, and a second send.
+const FAILURE_COST_US: f64 = 400_000.0;
+
+/// Weight of one result in the share of failures; about the last ten results count.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Time in which the share of failures halves without results, so that a worker is tried again.
+const FAILURE_HALF_LIFE_US: f64 = 2_000_000.0;
+
+/// Weight of one reply in the mean latency seen from here.
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// Time without an answer to a connection after which a VM is tried again.
+const UNREACHABLE_US: u64 = 1_000_000;
+
+/// Candidates that are compared; a larger service is sampled.
+const MAX_COMPARED: usize = 12;
+
+/// Relative noise on each estimate, so that daemons with the same view spread their choices.
+const NOISE: f64 = 0.05;
+
+/// State of a VM's worker, as its daemon publishes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Announcement {
+    /// Name of the VM.
+    pub vm: SmolStr,
+    /// Start of the daemon; a later one replaces all that an earlier one said.
+    pub daemon_born_unix_ms: u64,
+    /// Number of this announcement in the life of the daemon.
+    pub sequence: u64,
+    /// Address for calls.
+    pub addr: SocketAddr,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Region.
+    pub region: Region,
+    /// Worker that takes requests, if there is one.
+    pub worker: Option<WorkerState>,
+}
+
+impl Announcement {
+    /// Order among the announcements of one VM.
+    pub fn order(&self) -> (u64, u64) {
+        (self.daemon_born_unix_ms, self.sequence)
+    }
+}
+
+/// A worker that takes requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkerState {
+    /// Its life.
+    pub life: WorkerLife,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Requests that it can run at a time, by its own account.
+    pub slots: u32,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer, after so long.
+    Answered {
+        /// Time from the send to the reply.
+        took_us: u64,
+    },
+    /// The worker failed it or shed it.
+    Failed,
+    /// The gate turned it away; says nothing about the worker.
+    TurnedAway,
+    /// The daemon beside the worker could not be reached.
+    Unreachable,
+    /// Given up by the sender.
+    Cancelled,
+}
+
+/// A worker with what is known of it.
+#[derive(Debug)]
+pub struct Member {
+    /// What its daemon says.
+    pub announcement: Announcement,
+    load: GateLoad,
+    outstanding: u32,
+    sent_since_report: u32,
+    latency_us: f64,
+    failure_share: f64,
+    failure_at_us: u64,
+    unreachable_until_us: u64,
+    /// Worker life that its gate has refused to serve.
+    refused_life: Option<WorkerLife>,
+}
+
+/// Worker chosen for a request.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Key, to report the end of the send.
+    pub key: MemberKey,
+    /// Address of its daemon.
+    pub addr: SocketAddr,
+    /// Name of its VM.
+    pub vm: SmolStr,
+    /// Its life.
+    pub life: WorkerLife,
+}
+
+/// All known workers.
+#[derive(Debug)]
+pub struct Directory {
+    data_centre: DataCentre,
+    region: Region,
+    members: SlotMap<MemberKey, Member>,
+    by_vm: HashMap<SmolStr, MemberKey>,
+    by_service: HashMap<ServiceName, Vec<MemberKey>>,
+    rng: ChaCha8Rng,
+}
+
+impl Directory {
+    /// Empty directory of a daemon at this place.
+    pub fn new(data_centre: DataCentre, region: Region, seed: u64) -> Self {
+        Self {
+            data_centre,
+            region,
+            members: SlotMap::with_key(),
+            by_vm: HashMap::default(),
+            by_service: HashMap::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes what a daemon says of itself; tells whether it was news.
+    pub fn learn(&mut self, announcement: Announcement) -> bool {
+        let known = self.by_vm.get(&announcement.vm).copied();
+        let known_member = known.and_then(|key| self.members.get(key));
+        if known_member.is_some_and(|member| member.announcement.order() >= announcement.order()) {
+            return false;
+        }
+        let service = announcement
+            .worker
+            .as_ref()
+            .map(|worker| worker.service.clone());
+        let key = match known {
+            Some(key) => {
+                self.unlist(key);
+                self.members[key].renew(announcement);
+                key
+            }
+            None => {
+                let vm = announcement.vm.clone();
+                let key = self.members.insert(Member::new(announcement));
+                self.by_vm.insert(vm, key);
+                key
+            }
+        };
+        if let Some(service) = service {
+            self.by_service.entry(service).or_default().push(key);
+        }
+        true
+    }
+
+    /// Forgets a VM.
+    pub fn remove(&mut self, vm: &str) -> bool {
+        let Some(key) = self.by_vm.remove(vm) else {
+            return false;
+        };
+        self.unlist(key);
+        self.members.remove(key);
+        true
+    }
+
+    fn unlist(&mut self, key: MemberKey) {
+        for keys in self.by_service.values_mut() {
+            keys.retain(|listed| *listed != key);
+        }
+    }
+
+    /// Chooses a worker that has not been tried.
+    pub fn choose(&mut self, service: &str, tried: &[WorkerLife], now_us: u64) -> Option<Choice> {
+        let keys = self.by_service.get(service)?;
+        let first = match keys.len() {
+            0 => return None,
+            count if count > MAX_COMPARED => self.rng.random_range(0..count),
+            _ => 0,
+        };
+        let compared = keys
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(keys.len().min(MAX_COMPARED));
+        let mut best: Option<(f64, MemberKey)> = None;
+        for &key in compared {
+            let member = &self.members[key];
+            if !member.is_usable(tried) {
+                continue;
+            }
+            let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
+            let cost_us = member.expected_us(now_us) * noise + self.distance_us(member);
+            if best.is_none_or(|(best_us, _)| cost_us < best_us) {
+                best = Some((cost_us, key));
+            }
+        }
+        let (_, key) = best?;
+        let member = &self.members[key];
+        let worker = member.announcement.worker.as_ref()?;
+        Some(Choice {
+            key,
+            addr: member.announcement.addr,
+            vm: member.announcement.vm.clone(),
+            life: worker.life.clone(),
+        })
+    }
+
+    fn distance_us(&self, member: &Member) -> f64 {
+        if member.announcement.data_centre == self.data_centre {
+            0.0
+        } else if member.announcement.region == self.region {
+            OTHER_CENTRE_US
+        } else {
+            OTHER_REGION_US
+        }
+    }
+
+    /// Counts a send.
+    pub fn sent(&mut self, key: MemberKey) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.outstanding += 1;
+            member.sent_since_report += 1;
+        }
+    }
+
+    /// Takes the end of a send, with the load that the gate reported.
+    pub fn ended(&mut self, key: MemberKey, ended: Ended, load: Option<GateLoad>, now_us: u64) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.ended(ended, load, now_us);
+        }
+    }
+
+    /// Notes that a gate does not serve this life of its worker (any more).
+    pub fn refuse_life(&mut self, key: MemberKey, life: &WorkerLife) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.refused_life = Some(life.clone());
+        }
+    }
+
+    /// All announcements.
+    pub fn announcements(&self) -> impl Iterator<Item = &Announcement> {
+        self.members.values().map(|member| &member.announcement)
+    }
+
+    /// Number of workers that take requests for a service.
+    pub fn workers(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
+    /// Number of VMs.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Tells whether no VM is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+}
+
+impl Member {
+    fn new(announcement: Announcement) -> Self {
+        Self {
+            announcement,
+            load: GateLoad::default(),
+            outstanding: 0,
+            sent_since_report: 0,
+            latency_us: 0.0,
+            failure_share: 0.0,
+            failure_at_us: 0,
+            unreachable_until_us: 0,
+            refused_life: None,
+        }
+    }
+
+    /// Takes a newer announcement; another life of the worker begins without a past.
+    fn renew(&mut self, announcement: Announcement) {
+        let life = |announcement: &Announcement| {
+            announcement
+                .worker
+                .as_ref()
+                .map(|worker| worker.life.clone())
+        };
+        let is_same = life(&announcement) == life(&self.announcement);
+        let is_same_daemon =
+            announcement.daemon_born_unix_ms == self.announcement.daemon_born_unix_ms;
+        let outstanding = self.outstanding;
+        if is_same {
+            self.announcement = announcement;
+        } else {
+            *self = Self::new(announcement);
+            self.outstanding = outstanding;
+        }
+        if !is_same_daemon {
+            self.refused_life = None;
+            self.unreachable_until_us = 0;
+        }
+    }
+
+    fn is_usable(&self, tried: &[WorkerLife]) -> bool {
+        let Some(worker) = &self.announcement.worker else {
+            return false;
+        };
+        !tried.contains(&worker.life) && self.refused_life.as_ref() != Some(&worker.life)
+    }
+
+    fn failure_share(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.failure_at_us) as f64;
+        self.failure_share * (-age_us / FAILURE_HALF_LIFE_US * std::f64::consts::LN_2).exp()
+    }
+
+    /// Expected time to an answer from this worker.
+    fn expected_us(&self, now_us: u64) -> f64 {
+        let slots = self
+            .announcement
+            .worker
+            .as_ref()
+            .map_or(1, |worker| worker.slots);
+        let limit = match self.load.limit {
+            0 => f64::from(slots.max(1)),
+            limit => f64::from(limit),
+        };
+        let latency_us = self.latency_us.max(f64::from(self.load.latency_us));
+        let in_hand = f64::from(self.load.in_flight + self.load.queued + self.sent_since_report);
+        let in_hand = in_hand.max(f64::from(self.outstanding));
+        let waiting = (in_hand + 1.0 - limit).max(0.0);
+        let busy = (in_hand / limit).min(1.0);
+        // A worker near its limit is slower than one with room; a tenth breaks ties by load.
+        let work_us = latency_us * (1.0 + 0.1 * busy);
+        let wait_us = waiting / limit * latency_us.max(1_000.0);
+        let mut cost_us = work_us + wait_us + self.failure_share(now_us) * FAILURE_COST_US;
+        if now_us < self.unreachable_until_us {
+            cost_us += FAILURE_COST_US;
+        }
+        cost_us
+    }
+
+    fn ended(&mut self, ended: Ended, load: Option<GateLoad>, now_us: u64) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if let Some(load) = load {
+            self.load = load;
+            self.sent_since_report = 0;
+        }
+        let failed = match ended {
+            Ended::Answered { took_us } => {
+                let took_us = took_us as f64;
+                if self.latency_us == 0.0 {
+                    self.latency_us = took_us;
+                }
+                self.latency_us += (took_us - self.latency_us) * LATENCY_WEIGHT;
+                self.unreachable_until_us = 0;
+                0.0
+            }
+            Ended::Failed => 1.0,
+            Ended::Unreachable => {
+                self.unreachable_until_us = now_us + UNREACHABLE_US;
+                1.0
+            }
+            Ended::TurnedAway | Ended::Cancelled => return,
+        };
+        let share = self.failure_share(now_us);
+        self.failure_share = share + (failed - share) * FAILURE_WEIGHT;
+        self.failure_at_us = now_us;
+    }
+}
--- /dev/null
+++ b/src/mesh/gate.rs
@@ -0,0 +1,499 @@
+//! Gate in front of the local worker: the one place that knows and decides what runs there.
+
+use {
+    crate::{
+        collections::HashMap,
+        mesh::{
+            Mesh,
+            directory::WorkerState,
+            frame::{Call, CallResult, GateLoad, Pressure, Reply, WorkerLife},
+            http,
+            pool::{Breach, ExchangeError, WorkerAnswer},
+            protocol::{WorkerOrders, WorkerReport},
+            runtime::{now_us, until},
+        },
+        policy::gate::{Action, Arrival, Finish, Gate, Offer, WorkKey},
+        request::{Importance, Rank, Reason, Refusal, ServiceName},
+    },
+    futures::{
+        channel::oneshot,
+        future::{Either, select},
+    },
+    smol_str::SmolStr,
+    std::{collections::VecDeque, pin::pin, rc::Rc},
+};
+
+/// Time by which the gate gives up before the sender does, so that its verdict arrives in time.
+const GIVE_UP_EARLY_US: u64 = 40_000;
+
+/// Lives of workers that have left and are remembered, so that a late report does not bring one back.
+const MAX_DEPARTED: usize = 16;
+
+/// Request that the worker is running.
+#[derive(Debug)]
+pub struct Running {
+    /// Importance of the client's request that it belongs to.
+    pub root_importance: Importance,
+    /// Place within the importance.
+    pub bucket: u8,
+    /// Calls between the client's request and this one.
+    pub depth: u8,
+    /// Deadline on the monotonic clock.
+    pub deadline_us: u64,
+    /// Most loaded service that its calls met.
+    pub pressure: Option<Pressure>,
+}
+
+/// Local worker as it last described itself.
+#[derive(Debug, Clone)]
+pub struct LocalWorker {
+    /// What it said.
+    pub report: WorkerReport,
+    /// Whether its port was found closed or silent since.
+    pub is_down: bool,
+}
+
+/// What a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that others need to know.
+    None,
+    /// The worker takes requests, or takes them no longer.
+    State,
+    /// The report is out of date or of another worker.
+    Ignored,
+}
+
+/// State of the gate.
+pub struct LocalGate {
+    worker: Option<LocalWorker>,
+    departed: VecDeque<WorkerLife>,
+    gate: Gate,
+    waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
+    /// Requests at the worker, by attempt.
+    pub running: HashMap<SmolStr, Running>,
+    is_stopping: bool,
+}
+
+impl LocalGate {
+    /// Gate of a VM whose worker has not been heard.
+    pub fn new(gate: Gate) -> Self {
+        Self {
+            worker: None,
+            departed: VecDeque::new(),
+            gate,
+            waiting: HashMap::default(),
+            running: HashMap::default(),
+            is_stopping: false,
+        }
+    }
+
+    /// Worker as others may use it; `None` while it takes no requests.
+    pub fn worker_state(&self) -> Option<WorkerState> {
+        let worker = self.worker.as_ref()?;
+        if worker.is_down || worker.report.is_draining || self.is_stopping {
+            return None;
+        }
+        Some(WorkerState {
+            life: worker.report.life.clone(),
+            service: worker.report.service.clone(),
+            slots: worker.report.slots,
+        })
+    }
+
+    /// Takes a report of the local worker.
+    pub fn report(&mut self, report: WorkerReport, now_us: u64) -> Change {
+        if self.departed.contains(&report.life) {
+            return Change::Ignored;
+        }
+        let before = self.worker_state();
+        let mut actions = Vec::new();
+        match &mut self.worker {
+            Some(known) if known.report.life == report.life => {
+                if report.sequence <= known.report.sequence {
+                    return Change::Ignored;
+                }
+                let is_draining = known.report.is_draining || report.is_draining;
+                known.report = report;
+                known.report.is_draining = is_draining;
+                known.is_down = false;
+            }
+            Some(known) if known.report.life.born_unix_ms > report.life.born_unix_ms => {
+                return Change::Ignored;
+            }
+            _ => {
+                self.gate.announce(report.slots, now_us);
+                self.gate.reset(now_us, &mut actions);
+                self.worker = Some(LocalWorker {
+                    report,
+                    is_down: false,
+                });
+            }
+        }
+        if let Some(worker) = &self.worker {
+            self.gate.announce(worker.report.slots, now_us);
+            let is_draining = worker.report.is_draining || self.is_stopping;
+            self.gate.set_draining(is_draining, now_us, &mut actions);
+        }
+        self.apply(actions);
+        if self.worker_state() == before {
+            Change::None
+        } else {
+            Change::State
+        }
+    }
+
+    /// Takes the departure of the local worker.
+    pub fn leave(&mut self, worker_id: &str, born_unix_ms: Option<u64>, now_us: u64) -> Change {
+        let Some(worker) = &mut self.worker else {
+            return Change::Ignored;
+        };
+        let life = &worker.report.life;
+        if life.id != worker_id || born_unix_ms.is_some_and(|born| born != life.born_unix_ms) {
+            return Change::Ignored;
+        }
+        worker.report.is_draining = true;
+        let life = life.clone();
+        self.departed.push_back(life);
+        if self.departed.len() > MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.drain(now_us);
+        Change::State
+    }
+
+    /// Takes no new requests, as the daemon stops.
+    pub fn stop(&mut self, now_us: u64) {
+        self.is_stopping = true;
+        self.drain(now_us);
+    }
+
+    fn drain(&mut self, now_us: u64) {
+        let mut actions = Vec::new();
+        self.gate.set_draining(true, now_us, &mut actions);
+        self.apply(actions);
+    }
+
+    /// Notes that the worker's port is closed or silent; true if that is news.
+    fn mark_down(&mut self, life: &WorkerLife, now_us: u64) -> bool {
+        let Some(worker) = &mut self.worker else {
+            return false;
+        };
+        if worker.report.life != *life || worker.is_down {
+            return false;
+        }
+        worker.is_down = true;
+        let mut actions = Vec::new();
+        self.gate.reset(now_us, &mut actions);
+        self.apply(actions);
+        true
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now_us: u64) {
+        let mut actions = Vec::new();
+        self.gate.tick(now_us, &mut actions);
+        self.apply(actions);
+    }
+
+    /// Requests at the worker and requests that wait.
+    pub fn in_hand(&self) -> usize {
+        self.gate.in_flight() + self.waiting.len()
+    }
+
+    /// Load, for replies.
+    pub fn load(&self, now_us: u64) -> GateLoad {
+        let report = self.gate.report(now_us);
+        GateLoad {
+            in_flight: report.in_flight as u32,
+            queued: report.queued.values().sum::<usize>() as u32,
+            limit: report.limit,
+            latency_us: report.latency_us as u32,
+        }
+    }
+
+    /// Notes the load that a call of a running request met.
+    pub fn note_pressure(&mut self, parent: &str, pressure: &Pressure) {
+        if let Some(running) = self.running.get_mut(parent) {
+            let is_new = running
+                .pressure
+                .as_ref()
+                .is_none_or(|known| known.load_permille < pressure.load_permille);
+            if is_new {
+                running.pressure = Some(pressure.clone());
+            }
+        }
+    }
+
+    fn offer(&mut self, call: &Call, deadline_us: u64, now_us: u64) -> Result<Ticket, Refusal> {
+        let is_served = self
+            .worker_state()
+            .is_some_and(|worker| worker.life == call.worker && worker.service == call.service);
+        if !is_served {
+            return Err(Refusal::not_run(Reason::Draining));
+        }
+        let arrival = Arrival {
+            rank: Rank::from_parts(call.importance, call.bucket),
+            deadline_us,
+            exclusive: call.exclusive,
+        };
+        let mut actions = Vec::new();
+        let offer = self.gate.offer(arrival, now_us, &mut actions);
+        self.apply(actions);
+        match offer {
+            Offer::Started(key) => Ok(Ticket { key, waiting: None }),
+            Offer::Queued(key) => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiting.insert(key, sender);
+                Ok(Ticket {
+                    key,
+                    waiting: Some(receiver),
+                })
+            }
+            Offer::Refused(refusal) => Err(refusal),
+        }
+    }
+
+    fn finish(&mut self, key: WorkKey, finish: Finish, now_us: u64) {
+        self.waiting.remove(&key);
+        let mut actions = Vec::new();
+        self.gate.finish(key, finish, now_us, &mut actions);
+        self.apply(actions);
+    }
+
+    fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (key, verdict) = match action {
+                Action::Start(key) => (key, Ok(())),
+                Action::Refuse(key, refusal) => (key, Err(refusal)),
+            };
+            if let Some(waiting) = self.waiting.remove(&key) {
+                // A receiver that has gone away gives its slot back by itself.
+                let _ = waiting.send(verdict);
+            }
+        }
+    }
+}
+
+struct Ticket {
+    key: WorkKey,
+    waiting: Option<oneshot::Receiver<Result<(), Refusal>>>,
+}
+
+/// Place at the gate; given back when dropped.
+struct Slot<'a> {
+    mesh: &'a Mesh,
+    key: WorkKey,
+    attempt_id: Option<SmolStr>,
+    finish: Finish,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut gate = self.mesh.gate.borrow_mut();
+        gate.finish(self.key, self.finish, now_us());
+        if let Some(attempt_id) = &self.attempt_id {
+            gate.running.remove(attempt_id);
+        }
+    }
+}
+
+/// Runs a call on the local worker; dropping the future cancels it.
+pub async fn serve(mesh: &Rc<Mesh>, call: &Call, payload: &[u8]) -> (Reply, Vec<u8>) {
+    let started_us = now_us();
+    let deadline_us = (started_us + call.remaining_us).saturating_sub(GIVE_UP_EARLY_US);
+    let ticket = mesh.gate.borrow_mut().offer(call, deadline_us, started_us);
+    let ticket = match ticket {
+        Ok(ticket) => ticket,
+        Err(refusal) => return mesh.refused(call, refusal, false),
+    };
+    let mut slot = Slot {
+        mesh,
+        key: ticket.key,
+        attempt_id: None,
+        finish: Finish::Cancelled,
+    };
+    if let Some(waiting) = ticket.waiting {
+        let verdict = match select(waiting, until(deadline_us)).await {
+            Either::Left((verdict, _)) => {
+                verdict.unwrap_or(Err(Refusal::not_run(Reason::Internal)))
+            }
+            Either::Right(_) => Err(Refusal::not_run(Reason::Deadline)),
+        };
+        if let Err(refusal) = verdict {
+            drop(slot);
+            return mesh.refused(call, refusal, false);
+        }
+    }
+    mesh.run(call, payload, &mut slot, deadline_us).await
+}
+
+impl Mesh {
+    fn refused(&self, call: &Call, refusal: Refusal, was_sent: bool) -> (Reply, Vec<u8>) {
+        tracing::debug!(attempt = %call.attempt_id, route = %call.route, %refusal, was_sent,
+            "call refused by gate");
+        self.metrics.count("gate.refused");
+        (
+            self.reply(call, CallResult::Refused(refusal), was_sent, None),
+            Vec::new(),
+        )
+    }
+
+    fn reply(
+        &self,
+        call: &Call,
+        result: CallResult,
+        was_sent: bool,
+        met: Option<Pressure>,
+    ) -> Reply {
+        let load = self.gate.borrow().load(now_us());
+        let own = Pressure {
+            service: call.service.clone(),
+            load_permille: load.permille(),
+        };
+        let pressure = match met {
+            Some(met) if met.load_permille >= own.load_permille => met,
+            _ => own,
+        };
+        Reply {
+            result,
+            was_sent,
+            load,
+            pressure: Some(pressure),
+        }
+    }
+
+    async fn run(
+        self: &Rc<Self>,
+        call: &Call,
+        payload: &[u8],
+        slot: &mut Slot<'_>,
+        deadline_us: u64,
+    ) -> (Reply, Vec<u8>) {
+        let now_us = now_us();
+        if deadline_us <= now_us {
+            return self.refused(call, Refusal::not_run(Reason::Deadline), false);
+        }
+        let running = Running {
+            root_importance: call.root_importance,
+            bucket: call.bucket,
+            depth: call.depth,
+            deadline_us,
+            pressure: None,
+        };
+        self.gate
+            .borrow_mut()
+            .running
+            .insert(call.attempt_id.clone(), running);
+        slot.attempt_id = Some(call.attempt_id.clone());
+        let request = self.worker_request(call, payload, (deadline_us - now_us) / 1_000);
+        let is_head = payload.starts_with(b"HEAD ");
+        let addr = self.settings.worker_addr;
+        let exchange = pin!(
+            self.pool
+                .exchange(addr, &request, &call.attempt_id, is_head)
+        );
+        let result = match select(exchange, until(deadline_us)).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let refusal = Refusal::unknown(Reason::Deadline);
+                slot.finish = Finish::Failed;
+                return self.refused(call, refusal, true);
+            }
+        };
+        let met = {
+            let gate = self.gate.borrow();
+            let running = gate.running.get(&call.attempt_id);
+            running.and_then(|running| running.pressure.clone())
+        };
+        match result {
+            Ok(answer) => {
+                self.metrics
+                    .time_us("worker.time", crate::mesh::runtime::now_us() - now_us);
+                self.answered(call, slot, answer, met)
+            }
+            Err(error) => {
+                slot.finish = Finish::Failed;
+                self.broken(call, &error)
+            }
+        }
+    }
+
+    /// The request as the worker gets it.
+    fn worker_request(&self, call: &Call, payload: &[u8], remaining_ms: u64) -> Vec<u8> {
+        let (head, body) = payload.split_at((call.head_bytes as usize).min(payload.len()));
+        let mut request = Vec::with_capacity(payload.len() + 256);
+        request.extend_from_slice(head);
+        let orders = WorkerOrders {
+            remaining_ms,
+            worker_id: &call.worker.id,
+            caller_service: &call.caller_service,
+        };
+        self.protocol.write_orders(&mut request, orders);
+        let has_body = !(head.starts_with(b"GET ") || head.starts_with(b"HEAD "));
+        if has_body || !body.is_empty() {
+            http::write_number(&mut request, "Content-Length", body.len());
+        }
+        request.extend_from_slice(b"\r\n");
+        request.extend_from_slice(body);
+        request
+    }
+
+    fn answered(
+        self: &Rc<Self>,
+        call: &Call,
+        slot: &mut Slot<'_>,
+        answer: WorkerAnswer,
+        met: Option<Pressure>,
+    ) -> (Reply, Vec<u8>) {
+        let facts = self.protocol.answer_facts(&answer.head);
+        if facts.is_other_worker {
+            slot.finish = Finish::Cancelled;
+            self.worker_down(&call.worker, "another worker answers at its address");
+            return self.refused(call, Refusal::not_run(Reason::Unreachable), true);
+        }
+        slot.finish = if facts.is_not_run {
+            Finish::Failed
+        } else {
+            Finish::Done
+        };
+        let mut payload = Vec::with_capacity(answer.body.len() + 512);
+        answer.head.write_fields(&mut payload, |_| false);
+        let result = CallResult::Answer {
+            status: answer.head.status,
+            head_bytes: payload.len() as u32,
+            not_run: facts.is_not_run,
+        };
+        payload.extend_from_slice(&answer.body);
+        (self.reply(call, result, true, met), payload)
+    }
+
+    fn broken(self: &Rc<Self>, call: &Call, error: &ExchangeError) -> (Reply, Vec<u8>) {
+        tracing::info!(attempt = %call.attempt_id, route = %call.route, worker = %call.worker,
+            %error, "no whole answer from worker");
+        self.metrics.count("worker.broken");
+        if error.breach == Breach::NoConnection {
+            self.worker_down(&call.worker, &error.detail);
+        }
+        let refusal = if error.may_have_run {
+            Refusal::unknown(Reason::Broken)
+        } else {
+            Refusal::not_run(Reason::Unreachable)
+        };
+        self.refused(call, refusal, error.may_have_run)
+    }
+
+    fn worker_down(self: &Rc<Self>, life: &WorkerLife, cause: &str) {
+        if self.gate.borrow_mut().mark_down(life, now_us()) {
+            tracing::warn!(worker = %life, cause, "worker lost");
+            self.metrics.count("worker.lost");
+            self.pool.clear();
+            self.publish();
+        }
+    }
+
+    /// Name of the service beside this daemon.
+    pub fn own_service(&self) -> &ServiceName {
+        &self.settings.service
+    }
+}
--- /dev/null
+++ b/src/mesh/http.rs
@@ -0,0 +1,425 @@
+//! HTTP/1.1 messages on a connection: heads by `httparse`, and the framing of bodies.
+//!
+//! A head is decoded once into what the request path needs; all end-to-end fields are kept as the
+//! bytes that go to the other side.
+
+use {
+    crate::mesh::conn::Conn,
+    derive_more::{Display, Error},
+    smol_str::{SmolStr, ToSmolStr},
+    std::io::Write,
+};
+
+/// Fields that one head may have; a head with more is refused.
+const MAX_FIELDS: usize = 100;
+
+/// Longest line that announces a chunk, extensions included.
+const MAX_CHUNK_LINE_BYTES: usize = 4_096;
+
+/// Fields that concern one connection only (RFC 9110, 7.6.1), and those that frame the body.
+const HOP_FIELDS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Why a message cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum MessageError {
+    /// Not HTTP/1.1, or framed in an ambiguous way.
+    #[display("malformed message")]
+    Malformed,
+    /// The head is larger than allowed.
+    #[display("head too large")]
+    HeadTooLarge,
+    /// The body is larger than allowed.
+    #[display("body too large")]
+    BodyTooLarge,
+    /// The connection ended before the message did.
+    #[display("connection ended early")]
+    Cut,
+    /// The connection ended before the first byte of the message.
+    #[display("connection closed")]
+    Closed,
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// No body.
+    Empty,
+    /// So many bytes.
+    Length(u64),
+    /// Chunked coding.
+    Chunked,
+    /// All bytes until the connection ends.
+    UntilClose,
+}
+
+/// Decoded head of a message.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Method of a request; empty for an answer.
+    pub method: SmolStr,
+    /// Target of a request; empty for an answer.
+    pub target: SmolStr,
+    /// Status of an answer; zero for a request.
+    pub status: u16,
+    /// Authority that a request names.
+    pub host: SmolStr,
+    /// Framing of the body.
+    pub framing: Framing,
+    /// Whether the connection ends after this message.
+    pub closes: bool,
+    /// Whether the sender of a request waits for an interim answer.
+    pub expects_continue: bool,
+    /// Time for which the sender keeps an idle connection.
+    pub keep_alive_s: Option<u64>,
+    /// End-to-end fields.
+    pub fields: Vec<(SmolStr, Vec<u8>)>,
+}
+
+impl Head {
+    /// Text of the first field of this name, which is written in lower case.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let (_, value) = self
+            .fields
+            .iter()
+            .find(|(field, _)| field.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(value).ok().map(str::trim)
+    }
+
+    /// Path of a request's target without its query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        let path = match target.split_once("://") {
+            Some((_, rest)) => rest.find('/').map_or("/", |start| &rest[start..]),
+            None => target,
+        };
+        path.split(['?', '#']).next().unwrap_or(path)
+    }
+
+    /// Writes the end-to-end fields except those that `skip` names.
+    pub fn write_fields(&self, out: &mut Vec<u8>, skip: impl Fn(&str) -> bool) {
+        for (name, value) in &self.fields {
+            if !skip(name) {
+                write_field(out, name, value);
+            }
+        }
+    }
+}
+
+/// Appends one field line.
+pub fn write_field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends one field line with a number.
+pub fn write_number(out: &mut Vec<u8>, name: &str, value: impl std::fmt::Display) {
+    // Writing to a vector does not fail.
+    let _ = write!(out, "{name}: {value}\r\n");
+}
+
+/// Reads the head of a request; `None` if the peer closed before its first byte.
+///
+/// # Errors
+///
+/// Fails on a malformed or too large head and on a broken connection.
+pub async fn read_request(conn: &mut Conn, max_bytes: usize) -> Result<Head, MessageError> {
+    read_head(conn, max_bytes, parse_request).await
+}
+
+/// Reads the head of an answer to a request of this method, past interim answers.
+///
+/// # Errors
+///
+/// Fails on a malformed or too large head and on a broken connection.
+pub async fn read_answer(
+    conn: &mut Conn,
+    max_bytes: usize,
+    is_head: bool,
+) -> Result<Head, MessageError> {
+    loop {
+        let head = read_head(conn, max_bytes, |bytes| parse_answer(bytes, is_head)).await?;
+        if head.status >= 200 {
+            return Ok(head);
+        }
+    }
+}
+
+async fn read_head(
+    conn: &mut Conn,
+    max_bytes: usize,
+    parse: impl Fn(&[u8]) -> Result<Option<(Head, usize)>, MessageError>,
+) -> Result<Head, MessageError> {
+    loop {
+        if !conn.ahead().is_empty() {
+            if let Some((head, length)) = parse(conn.ahead())? {
+                if length > max_bytes {
+                    return Err(MessageError::HeadTooLarge);
+                }
+                conn.consume(length);
+                return Ok(head);
+            }
+            if conn.ahead().len() > max_bytes {
+                return Err(MessageError::HeadTooLarge);
+            }
+        }
+        let is_begun = !conn.ahead().is_empty();
+        match conn.fill().await {
+            Ok(0) | Err(_) if is_begun => return Err(MessageError::Cut),
+            Ok(0) | Err(_) => return Err(MessageError::Closed),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Decodes the head of a request; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Fails on a malformed head.
+pub fn parse_request(bytes: &[u8]) -> Result<Option<(Head, usize)>, MessageError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    let length = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(MessageError::HeadTooLarge),
+        Err(_) => return Err(MessageError::Malformed),
+    };
+    let mut head = collect(request.headers, request.version)?;
+    head.method = request.method.unwrap_or_default().to_smolstr();
+    head.target = request.path.unwrap_or_default().to_smolstr();
+    if head.framing == Framing::UntilClose {
+        head.framing = Framing::Empty;
+    }
+    Ok(Some((head, length)))
+}
+
+/// Decodes the head of an answer; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Fails on a malformed head.
+pub fn parse_answer(bytes: &[u8], is_head: bool) -> Result<Option<(Head, usize)>, MessageError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut fields);
+    let length = match response.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(MessageError::Malformed),
+    };
+    let mut head = collect(response.headers, response.version)?;
+    head.status = response.code.unwrap_or_default();
+    if is_head || head.status < 200 || head.status == 204 || head.status == 304 {
+        head.framing = Framing::Empty;
+    }
+    head.closes |= head.framing == Framing::UntilClose;
+    Ok(Some((head, length)))
+}
+
+fn collect(fields: &[httparse::Header<'_>], version: Option<u8>) -> Result<Head, MessageError> {
+    let mut head = Head {
+        method: SmolStr::default(),
+        target: SmolStr::default(),
+        status: 0,
+        host: SmolStr::default(),
+        framing: Framing::UntilClose,
+        closes: version == Some(0),
+        expects_continue: false,
+        keep_alive_s: None,
+        fields: Vec::with_capacity(fields.len()),
+    };
+    let mut named: Vec<&str> = Vec::new();
+    let mut length = None;
+    let mut is_chunked = false;
+    for field in fields {
+        let name = field.name;
+        let text = || {
+            std::str::from_utf8(field.value)
+                .map(str::trim)
+                .unwrap_or_default()
+        };
+        if name.eq_ignore_ascii_case("content-length") {
+            let value = text();
+            let is_number = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+            let value = value.parse().ok().filter(|_| is_number);
+            let value: u64 = value.ok_or(MessageError::Malformed)?;
+            if length.is_some_and(|earlier| earlier != value) {
+                return Err(MessageError::Malformed);
+            }
+            length = Some(value);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            if is_chunked || !text().eq_ignore_ascii_case("chunked") {
+                return Err(MessageError::Malformed);
+            }
+            is_chunked = true;
+        } else if name.eq_ignore_ascii_case("connection") {
+            for token in text().split(',').map(str::trim) {
+                if token.eq_ignore_ascii_case("close") {
+                    head.closes = true;
+                } else if token.eq_ignore_ascii_case("keep-alive") {
+                    head.closes = false;
+                } else {
+                    named.push(token);
+                }
+            }
+        } else if name.eq_ignore_ascii_case("keep-alive") {
+            head.keep_alive_s = keep_alive_s(text());
+        } else if name.eq_ignore_ascii_case("expect") {
+            head.expects_continue = text().eq_ignore_ascii_case("100-continue");
+        } else if !HOP_FIELDS.iter().any(|hop| name.eq_ignore_ascii_case(hop)) {
+            if name.eq_ignore_ascii_case("host") {
+                head.host = text().to_smolstr();
+            }
+            head.fields.push((name.to_smolstr(), field.value.to_vec()));
+        }
+    }
+    if !named.is_empty() {
+        head.fields
+            .retain(|(name, _)| !named.iter().any(|hop| name.eq_ignore_ascii_case(hop)));
+    }
+    head.framing = match (is_chunked, length) {
+        (true, Some(_)) => return Err(MessageError::Malformed),
+        (true, None) => Framing::Chunked,
+        (false, Some(0)) => Framing::Empty,
+        (false, Some(length)) => Framing::Length(length),
+        (false, None) => Framing::UntilClose,
+    };
+    Ok(head)
+}
+
+fn keep_alive_s(text: &str) -> Option<u64> {
+    text.split(',').find_map(|part| {
+        let (name, value) = part.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| value.trim().parse().ok()).flatten()
+    })
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Fails if the body is cut, malformed or too large.
+pub async fn read_body(
+    conn: &mut Conn,
+    framing: Framing,
+    max_bytes: u64,
+) -> Result<Vec<u8>, MessageError> {
+    match framing {
+        Framing::Empty => Ok(Vec::new()),
+        Framing::Length(length) if length > max_bytes => Err(MessageError::BodyTooLarge),
+        Framing::Length(length) => {
+            let mut body = Vec::new();
+            take(conn, &mut body, length as usize).await?;
+            Ok(body)
+        }
+        Framing::Chunked => read_chunks(conn, max_bytes).await,
+        Framing::UntilClose => read_rest(conn, max_bytes).await,
+    }
+}
+
+async fn take(conn: &mut Conn, body: &mut Vec<u8>, mut count: usize) -> Result<(), MessageError> {
+    loop {
+        let piece = conn.ahead().len().min(count);
+        body.extend_from_slice(&conn.ahead()[..piece]);
+        conn.consume(piece);
+        count -= piece;
+        if count == 0 {
+            return Ok(());
+        }
+        fill(conn).await?;
+    }
+}
+
+async fn read_rest(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>, MessageError> {
+    let mut body = Vec::new();
+    loop {
+        body.extend_from_slice(conn.ahead());
+        let count = conn.ahead().len();
+        conn.consume(count);
+        if body.len() as u64 > max_bytes {
+            return Err(MessageError::BodyTooLarge);
+        }
+        match conn.fill().await {
+            Ok(0) => return Ok(body),
+            Ok(_) => {}
+            Err(_) => return Err(MessageError::Cut),
+        }
+    }
+}
+
+async fn read_chunks(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>, MessageError> {
+    let mut body = Vec::new();
+    loop {
+        let size = read_chunk_size(conn).await?;
+        if size == 0 {
+            return read_trailers(conn).await.map(|()| body);
+        }
+        if size > max_bytes || body.len() as u64 + size > max_bytes {
+            return Err(MessageError::BodyTooLarge);
+        }
+        take(conn, &mut body, size as usize).await?;
+        let mut end = Vec::new();
+        take(conn, &mut end, 2).await?;
+        if end != b"\r\n" {
+            return Err(MessageError::Malformed);
+        }
+    }
+}
+
+async fn read_chunk_size(conn: &mut Conn) -> Result<u64, MessageError> {
+    loop {
+        match httparse::parse_chunk_size(conn.ahead()) {
+            Ok(httparse::Status::Complete((length, size))) => {
+                conn.consume(length);
+                return Ok(size);
+            }
+            Ok(httparse::Status::Partial) if conn.ahead().len() <= MAX_CHUNK_LINE_BYTES => {
+                fill(conn).await?;
+            }
+            _ => return Err(MessageError::Malformed),
+        }
+    }
+}
+
+async fn read_trailers(conn: &mut Conn) -> Result<(), MessageError> {
+    let mut read_bytes = 0;
+    loop {
+        if let Some(end) = conn.ahead().windows(2).position(|pair| pair == b"\r\n") {
+            conn.consume(end + 2);
+            read_bytes += end + 2;
+            if end == 0 {
+                return Ok(());
+            }
+        } else {
+            fill(conn).await?;
+        }
+        if read_bytes + conn.ahead().len() > 16 * MAX_CHUNK_LINE_BYTES {
+            return Err(MessageError::Malformed);
+        }
+    }
+}
+
+async fn fill(conn: &mut Conn) -> Result<(), MessageError> {
+    match conn.fill().await {
+        Ok(0) | Err(_) => Err(MessageError::Cut),
+        Ok(_) => Ok(()),
+    }
+}
+
+/// Reason phrase of a status.
+pub fn reason_phrase(status: u16) -> &'static str {
+    http_types::StatusCode::try_from(status).map_or("Unknown", |status| status.canonical_reason())
+}
--- /dev/null
+++ b/src/mesh/mod.rs
@@ -0,0 +1,317 @@
+//! Daemon on the platform: the way of a request from a client to a worker and back.
+//!
+//! A client's connection ends in [`ingress`]; [`forward`] finds the route, asks for admission and
+//! chooses a worker from the [`directory`]; a [`link`] carries the call to the daemon beside that
+//! worker, whose [`gate`] alone decides what runs there. [`registry`] keeps the daemon's entry in
+//! the platform's store and follows the others and the configuration. All of it runs on one thread.
+
+pub mod conn;
+pub mod daemon;
+pub mod directory;
+pub mod forward;
+pub mod frame;
+pub mod gate;
+pub mod http;
+pub mod ingress;
+pub mod link;
+pub mod peers;
+pub mod pool;
+pub mod ports;
+pub mod protocol;
+pub mod registry;
+pub mod routes;
+pub mod runtime;
+pub mod settings;
+
+use {
+    crate::{
+        collections::HashMap,
+        config::Config,
+        metrics::Metrics,
+        policy::{admission::Admission, allowance::Allowance, gate::Gate, shed::GateRules},
+        request::ServiceName,
+    },
+    directory::{Announcement, Directory},
+    frame::Message,
+    gate::LocalGate,
+    link::{Link, Outbox},
+    pool::Pool,
+    protocol::{Catalog, Protocol},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    registry::Registry,
+    routes::{ClientLimits, ConfigVersion, RouteTable, Splitter},
+    runtime::{detach, now_us},
+    settings::MeshSettings,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// State of one daemon.
+pub struct Mesh {
+    /// Settings of the process.
+    pub settings: MeshSettings,
+    /// Meaning of the platform's messages.
+    pub protocol: Rc<dyn Protocol>,
+    /// The platform's store.
+    pub catalog: Rc<dyn Catalog>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Configuration in force.
+    pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Its document, for daemons that cannot reach the store.
+    config_document: RefCell<Vec<u8>>,
+    /// Order of the parts of each route.
+    pub splitter: RefCell<Splitter>,
+    /// Workers of all services.
+    pub directory: RefCell<Directory>,
+    /// Links to other daemons.
+    pub links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    /// The local worker's gate.
+    pub gate: RefCell<LocalGate>,
+    /// Connections to the local worker.
+    pub pool: Pool,
+    /// Admission of callers' requests.
+    pub admission: RefCell<Admission>,
+    /// Extra sends to each service.
+    pub allowances: RefCell<HashMap<ServiceName, Allowance>>,
+    /// The daemon's share in the store.
+    pub registry: Registry,
+    /// Randomness.
+    pub rng: RefCell<ChaCha8Rng>,
+    /// Open client connections.
+    pub clients: Cell<usize>,
+    /// Client requests that are not answered yet.
+    pub in_progress: Cell<usize>,
+    /// Whether the entries of the daemons have been read once.
+    pub is_directory_known: Cell<bool>,
+    /// Whether the own entry has vanished from the store.
+    pub is_entry_missing: Cell<bool>,
+    is_stopping: Cell<bool>,
+    born_unix_ms: u64,
+    announced: RefCell<Announcement>,
+}
+
+/// What a daemon is made of.
+pub struct Parts {
+    /// Settings of the process.
+    pub settings: MeshSettings,
+    /// Meaning of the platform's messages.
+    pub protocol: Rc<dyn Protocol>,
+    /// The platform's store.
+    pub catalog: Rc<dyn Catalog>,
+    /// Start of the process on the wall clock.
+    pub born_unix_ms: u64,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+impl Mesh {
+    /// Puts a daemon together; nothing runs yet.
+    pub fn new(parts: Parts) -> Rc<Self> {
+        let Parts {
+            settings,
+            protocol,
+            catalog,
+            born_unix_ms,
+            seed,
+        } = parts;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let rules = GateRules::new(Config::default().rules.recovery_weight_percent);
+        let directory = Directory::new(
+            settings.data_centre.clone(),
+            settings.region.clone(),
+            rng.random(),
+        );
+        let announced = Announcement {
+            vm: settings.name.clone(),
+            daemon_born_unix_ms: born_unix_ms,
+            sequence: 0,
+            addr: settings.calls_addr,
+            data_centre: settings.data_centre.clone(),
+            region: settings.region.clone(),
+            worker: None,
+        };
+        Rc::new(Self {
+            gate: RefCell::new(LocalGate::new(Gate::new(rules, rng.random()))),
+            pool: Pool::new(Rc::clone(&protocol)),
+            settings,
+            protocol,
+            catalog,
+            metrics: Metrics::local(),
+            routes: RefCell::default(),
+            config_document: RefCell::default(),
+            splitter: RefCell::default(),
+            directory: RefCell::new(directory),
+            links: RefCell::default(),
+            admission: RefCell::default(),
+            allowances: RefCell::default(),
+            registry: Registry::default(),
+            rng: RefCell::new(rng),
+            clients: Cell::new(0),
+            in_progress: Cell::new(0),
+            is_directory_known: Cell::new(false),
+            is_entry_missing: Cell::new(false),
+            is_stopping: Cell::new(false),
+            born_unix_ms,
+            announced: RefCell::new(announced),
+        })
+    }
+
+    /// Tells whether the daemon takes clients.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routes.borrow().is_some() && self.is_directory_known.get()
+    }
+
+    /// Tells whether the daemon is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Takes no new work; what is under way goes on.
+    pub fn stop(self: &Rc<Self>) {
+        self.is_stopping.set(true);
+        self.gate.borrow_mut().stop(now_us());
+        self.publish();
+    }
+
+    /// Requests and calls under way.
+    pub fn in_hand(&self) -> usize {
+        self.in_progress.get() + self.gate.borrow().in_hand()
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    pub fn config_version(&self) -> ConfigVersion {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .map(|table| table.version)
+            .unwrap_or_default()
+    }
+
+    /// Bounds on clients.
+    pub fn client_limits(&self) -> ClientLimits {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .map(|table| table.limits)
+            .unwrap_or_default()
+    }
+
+    /// What others are to know of this daemon.
+    pub fn own_announcement(&self) -> Option<Announcement> {
+        Some(self.announced.borrow().clone())
+    }
+
+    /// Link to the daemon at an address.
+    pub fn link(&self, addr: SocketAddr) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        Rc::clone(links.entry(addr).or_insert_with(|| Link::new(addr)))
+    }
+
+    /// Tells the others and the store of a change of the local worker.
+    pub fn publish(self: &Rc<Self>) {
+        let worker = self.gate.borrow().worker_state();
+        let announcement = {
+            let mut announced = self.announced.borrow_mut();
+            if announced.worker == worker && announced.sequence > 0 {
+                return;
+            }
+            announced.worker = worker;
+            announced.sequence += 1;
+            announced.clone()
+        };
+        self.learn(announcement.clone(), "self");
+        self.registry.wake();
+        let message = Message::Announce(announcement);
+        for link in self.links.borrow().values() {
+            link.tell(&message);
+        }
+    }
+
+    /// Takes what a daemon says of itself.
+    pub fn learn(&self, announcement: Announcement, source: &'static str) {
+        if announcement.vm == self.settings.name
+            && announcement.daemon_born_unix_ms != self.born_unix_ms
+        {
+            // An entry of this VM's previous daemon.
+            return;
+        }
+        let vm = announcement.vm.clone();
+        let worker = announcement.worker.clone();
+        if self.directory.borrow_mut().learn(announcement) {
+            match worker {
+                Some(worker) => tracing::info!(%vm, source, service = %worker.service,
+                    worker = %worker.life, slots = worker.slots, "worker available"),
+                None => tracing::info!(%vm, source, "no worker available"),
+            }
+        }
+    }
+
+    /// Takes a configuration document; one that is older or malformed changes nothing.
+    pub fn take_config(self: &Rc<Self>, document: &[u8], source: &'static str) {
+        let table = match self.protocol.decode_config(document) {
+            Ok(table) => table,
+            Err(error) => {
+                self.metrics.count("config.refused");
+                tracing::warn!(%error, source, in_force = %self.config_version(),
+                    "malformed configuration ignored");
+                return;
+            }
+        };
+        let in_force = self.config_version();
+        if self.routes.borrow().is_some() && table.version <= in_force {
+            return;
+        }
+        tracing::info!(version = %table.version, replaced = %in_force, source,
+            routes = table.len(), "configuration in force");
+        let version = table.version;
+        *self.routes.borrow_mut() = Some(Rc::new(table));
+        *self.config_document.borrow_mut() = document.to_vec();
+        for link in self.links.borrow().values() {
+            link.tell(&Message::Ping(version.0));
+        }
+    }
+
+    /// Takes a message that belongs to no call.
+    pub fn heard(self: &Rc<Self>, message: Message, payload: &[u8], outbox: &Outbox) {
+        match message {
+            Message::Ping(version) => {
+                outbox.push(&Message::Pong(self.config_version().0), &[]);
+                self.compare_version(version, outbox);
+            }
+            Message::Pong(version) => self.compare_version(version, outbox),
+            Message::ConfigWanted => {
+                let document = self.config_document.borrow();
+                if !document.is_empty() {
+                    outbox.push(&Message::Config, &[&document]);
+                }
+            }
+            Message::Config => self.take_config(payload, "peer"),
+            Message::Announce(announcement) => self.learn(announcement, "peer"),
+            Message::Deaths(_) | Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
+                self.metrics.count("peers.unexpected");
+            }
+        }
+    }
+
+    fn compare_version(&self, version: u64, outbox: &Outbox) {
+        if version > self.config_version().0 {
+            outbox.push(&Message::ConfigWanted, &[]);
+        }
+    }
+
+    /// Connects to another daemon ahead of need.
+    pub fn prepare_link(self: &Rc<Self>, addr: SocketAddr) {
+        let link = self.link(addr);
+        let mesh = Rc::clone(self);
+        detach("connect", async move {
+            if let Err(error) = link.connect(&mesh).await {
+                tracing::debug!(%error, "link not prepared");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/mesh/peers.rs
@@ -0,0 +1,121 @@
+//! Links of other daemons: calls in, replies out.
+
+use {
+    crate::{
+        collections::HashMap,
+        mesh::{
+            Mesh,
+            conn::Conn,
+            frame::{self, Call, CallNumber, Message},
+            gate,
+            link::Outbox,
+            runtime::{detach, sleep_ms, spawn},
+        },
+    },
+    async_executor::Task,
+    async_io::Async,
+    futures::future::select,
+    std::{
+        cell::RefCell,
+        io,
+        net::{SocketAddr, TcpListener, TcpStream},
+        pin::pin,
+        rc::Rc,
+    },
+};
+
+/// Wait after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+type Calls = Rc<RefCell<HashMap<CallNumber, Task<()>>>>;
+
+/// Serves other daemons until the listener fails.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
+    let listener = Async::<TcpListener>::bind(addr)?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let mesh = Rc::clone(&mesh);
+                detach("peer", async move { serve(mesh, stream, peer).await });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "peer connection not accepted");
+                mesh.metrics.count("peers.accept_failed");
+                sleep_ms(ACCEPT_RETRY_MS).await;
+            }
+        }
+    }
+}
+
+async fn serve(mesh: Rc<Mesh>, stream: Async<TcpStream>, peer: SocketAddr) {
+    let mut conn = match Conn::new(stream) {
+        Ok(conn) => conn,
+        Err(error) => {
+            tracing::debug!(%peer, %error, "peer connection lost");
+            return;
+        }
+    };
+    let io = conn.io();
+    let outbox = Rc::new(Outbox::default());
+    let calls = Calls::default();
+    let reading = pin!(read(&mesh, &mut conn, &outbox, &calls, peer));
+    let writing = pin!(outbox.run(&io));
+    // Either way the connection has ended; dropping the calls cancels them at the worker.
+    select(reading, writing).await;
+    let left = std::mem::take(&mut *calls.borrow_mut());
+    for task in left.into_values() {
+        drop(task);
+    }
+}
+
+async fn read(
+    mesh: &Rc<Mesh>,
+    conn: &mut Conn,
+    outbox: &Rc<Outbox>,
+    calls: &Calls,
+    peer: SocketAddr,
+) {
+    loop {
+        let (message, payload) = match frame::read(conn).await {
+            Ok(frame) => frame,
+            Err(error) => {
+                tracing::debug!(%peer, %error, "peer connection ended");
+                return;
+            }
+        };
+        match message {
+            Message::Call(number, call) => start(mesh, outbox, calls, number, call, payload),
+            Message::Cancel(number) => {
+                let task = calls.borrow_mut().remove(&number);
+                drop(task);
+            }
+            other => mesh.heard(other, &payload, outbox),
+        }
+    }
+}
+
+fn start(
+    mesh: &Rc<Mesh>,
+    outbox: &Rc<Outbox>,
+    calls: &Calls,
+    number: CallNumber,
+    call: Call,
+    payload: Vec<u8>,
+) {
+    let mesh = Rc::clone(mesh);
+    let outbox = Rc::clone(outbox);
+    let own_calls = Rc::clone(calls);
+    let task = spawn(async move {
+        let (reply, payload) = gate::serve(&mesh, &call, &payload).await;
+        outbox.push(&Message::Reply(number, reply), &[&payload]);
+        let own = own_calls.borrow_mut().remove(&number);
+        if let Some(own) = own {
+            own.detach();
+        }
+    });
+    calls.borrow_mut().insert(number, task);
+}
--- /dev/null
+++ b/src/mesh/ports.rs
@@ -0,0 +1,187 @@
+//! Small HTTP ports of a daemon: the local worker's reports, readiness, metrics.
+
+use {
+    crate::mesh::{
+        Mesh,
+        conn::Conn,
+        gate::Change,
+        http::{self, Head},
+        protocol::ControlCall,
+        runtime::{detach, now_us, sleep_ms, within},
+    },
+    async_io::Async,
+    std::{
+        fmt::Write,
+        io,
+        net::{SocketAddr, TcpListener, TcpStream},
+        rc::Rc,
+    },
+};
+
+/// Largest head on these ports.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// Largest body on these ports; a report is far below 4 KiB.
+const MAX_BODY_BYTES: u64 = 64 * 1024;
+
+/// Time for one message, and for an idle connection.
+const MESSAGE_TIMEOUT_MS: u64 = 20_000;
+
+/// Wait after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves one port until its listener fails.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
+    let listener = Async::<TcpListener>::bind(addr)?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let mesh = Rc::clone(&mesh);
+                detach("port", async move {
+                    if let Err(error) = serve(&mesh, stream).await {
+                        tracing::debug!(%peer, %error, "port connection ended");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "port connection not accepted");
+                sleep_ms(ACCEPT_RETRY_MS).await;
+            }
+        }
+    }
+}
+
+async fn serve(mesh: &Rc<Mesh>, stream: Async<TcpStream>) -> io::Result<()> {
+    let mut conn = Conn::new(stream)?;
+    loop {
+        let reading = async {
+            let head = http::read_request(&mut conn, MAX_HEAD_BYTES).await?;
+            let body = http::read_body(&mut conn, head.framing, MAX_BODY_BYTES).await?;
+            Ok::<_, http::MessageError>((head, body))
+        };
+        let Some(Ok((head, body))) = within(MESSAGE_TIMEOUT_MS, reading).await else {
+            return Ok(());
+        };
+        let (status, kind, text) = mesh.port_call(&head, &body);
+        let close = if head.closes {
+            "Connection: close\r\n"
+        } else {
+            ""
+        };
+        let reason = http::reason_phrase(status);
+        let length = text.len();
+        let answer = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\
+             {close}\r\n{text}"
+        );
+        conn.write_all(answer.as_bytes()).await?;
+        if head.closes {
+            conn.shutdown();
+            return Ok(());
+        }
+    }
+}
+
+impl Mesh {
+    fn port_call(self: &Rc<Self>, head: &Head, body: &[u8]) -> (u16, &'static str, String) {
+        const JSON: &str = "application/json";
+        const TEXT: &str = "text/plain";
+        if head.path() == METRICS_PATH {
+            return (200, "text/plain; version=0.0.4", self.metrics_text());
+        }
+        match self.protocol.control_call(head, body) {
+            Ok(ControlCall::Ready) => {
+                (if self.is_ready() { 200 } else { 503 }, TEXT, String::new())
+            }
+            Ok(ControlCall::Report(report)) => {
+                let is_own = report.addr == self.settings.worker_addr
+                    && report.service == self.settings.service;
+                if !is_own {
+                    tracing::warn!(worker = %report.life, addr = %report.addr,
+                        service = %report.service, "report of another worker ignored");
+                    self.metrics.count("report.foreign");
+                    return (400, JSON, "{}".into());
+                }
+                let life = report.life.clone();
+                let change = self.gate.borrow_mut().report(report, now_us());
+                self.changed(change, &life.to_string(), "report");
+                (200, JSON, "{}".into())
+            }
+            Ok(ControlCall::Leave {
+                worker_id,
+                born_unix_ms,
+            }) => {
+                let change = self
+                    .gate
+                    .borrow_mut()
+                    .leave(&worker_id, born_unix_ms, now_us());
+                self.changed(change, &worker_id, "departure");
+                (200, JSON, "{}".into())
+            }
+            Ok(ControlCall::Unknown) => (404, TEXT, String::new()),
+            Err(error) => {
+                tracing::warn!(%error, path = head.path(), "unreadable report ignored");
+                self.metrics.count("report.unreadable");
+                (400, JSON, "{}".into())
+            }
+        }
+    }
+
+    fn changed(self: &Rc<Self>, change: Change, worker: &str, cause: &str) {
+        match change {
+            Change::None => {}
+            Change::Ignored => {
+                tracing::info!(worker, cause, "out of date, ignored");
+                self.metrics.count("report.stale");
+            }
+            Change::State => {
+                let is_serving = self.gate.borrow().worker_state().is_some();
+                tracing::info!(worker, cause, is_serving, "worker state changed");
+                if is_serving {
+                    self.pool.clear();
+                }
+                self.publish();
+            }
+        }
+    }
+
+    fn metrics_text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, kind: &str, value: u64| {
+            let name = name.replace('.', "_");
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                text,
+                "# TYPE shallotdeal_{name} {kind}\nshallotdeal_{name} {value}"
+            );
+        };
+        for (name, count) in self.metrics.snapshot() {
+            line(&format!("{name}_total"), "counter", count);
+        }
+        let load = self.gate.borrow().load(now_us());
+        line("gate.in_flight", "gauge", u64::from(load.in_flight));
+        line("gate.queued", "gauge", u64::from(load.queued));
+        line("gate.limit", "gauge", u64::from(load.limit));
+        line("gate.latency_us", "gauge", u64::from(load.latency_us));
+        line("clients", "gauge", self.clients.get() as u64);
+        line(
+            "requests.in_progress",
+            "gauge",
+            self.in_progress.get() as u64,
+        );
+        line("config.version", "gauge", self.config_version().0);
+        line(
+            "directory.daemons",
+            "gauge",
+            self.directory.borrow().len() as u64,
+        );
+        text
+    }
+}
--- /dev/null
+++ b/src/mesh/runtime.rs
@@ -0,0 +1,132 @@
+//! The daemon's one thread: its executor, its alarms and its clock.
+//!
+//! `async_std::task` starts a second thread that competes for the reactor, which costs two thread
+//! switches an event on a VM with less than one core. The request path therefore uses the executor
+//! and the reactor that async-std is built on.
+
+use {
+    async_executor::{LocalExecutor, Task},
+    async_io::Timer,
+    futures::FutureExt,
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        panic::AssertUnwindSafe,
+        pin::Pin,
+        task::{Context, Poll, Waker},
+        time::Duration,
+    },
+};
+
+/// Resolution of alarms. Half the 50 ms by which callers may notice a late time-out.
+const ALARM_TICK_MS: u64 = 20;
+
+thread_local! {
+    static EXECUTOR: LocalExecutor<'static> = const { LocalExecutor::new() };
+    static ALARMS: RefCell<BTreeMap<(u64, u64), Waker>> = const { RefCell::new(BTreeMap::new()) };
+    static NEXT_ALARM: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Runs a future and all spawned tasks on the present thread until the future ends.
+pub fn block_on<T>(main: impl Future<Output = T>) -> T {
+    EXECUTOR.with(|executor| {
+        async_io::block_on(executor.run(async {
+            let ticker = executor.spawn(tick());
+            let ended = main.await;
+            drop(ticker);
+            ended
+        }))
+    })
+}
+
+/// Starts a task on the present thread; dropping the handle cancels it.
+pub fn spawn<T: 'static>(work: impl Future<Output = T> + 'static) -> Task<T> {
+    EXECUTOR.with(|executor| executor.spawn(work))
+}
+
+/// Starts a task that nobody waits for; a panic ends that task only and is logged.
+pub fn detach(name: &'static str, work: impl Future<Output = ()> + 'static) {
+    spawn(async move {
+        if AssertUnwindSafe(work).catch_unwind().await.is_err() {
+            tracing::error!(task = name, "task panicked");
+        }
+    })
+    .detach();
+}
+
+/// Microseconds since boot, time in suspension included, so that a deadline passes while the VM
+/// is suspended.
+pub fn now_us() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
+}
+
+/// Waits until the present time reaches `at_us`, to the resolution of the alarms.
+pub fn until(at_us: u64) -> Alarm {
+    Alarm { at_us, key: None }
+}
+
+/// Waits for a time span.
+pub async fn sleep_ms(span_ms: u64) {
+    until(now_us() + span_ms * 1_000).await;
+}
+
+/// Runs a future for at most a time span.
+pub async fn within<T>(span_ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    let work = std::pin::pin!(work);
+    match futures::future::select(work, until(now_us() + span_ms * 1_000)).await {
+        futures::future::Either::Left((value, _)) => Some(value),
+        futures::future::Either::Right(_) => None,
+    }
+}
+
+/// Wait for a point in time; one timer of the reactor serves all of them.
+#[derive(Debug)]
+pub struct Alarm {
+    at_us: u64,
+    key: Option<(u64, u64)>,
+}
+
+impl Future for Alarm {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if now_us() >= self.at_us {
+            return Poll::Ready(());
+        }
+        let key = *self.key.get_or_insert_with(|| {
+            let id = NEXT_ALARM.get();
+            NEXT_ALARM.set(id + 1);
+            (0, id)
+        });
+        let key = (self.at_us, key.1);
+        self.key = Some(key);
+        ALARMS.with_borrow_mut(|alarms| match alarms.get_mut(&key) {
+            Some(waker) => waker.clone_from(context.waker()),
+            None => {
+                alarms.insert(key, context.waker().clone());
+            }
+        });
+        Poll::Pending
+    }
+}
+
+impl Drop for Alarm {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            ALARMS.with_borrow_mut(|alarms| alarms.remove(&key));
+        }
+    }
+}
+
+async fn tick() {
+    loop {
+        Timer::after(Duration::from_millis(ALARM_TICK_MS)).await;
+        let now_us = now_us();
+        let due = ALARMS.with_borrow_mut(|alarms| {
+            let later = alarms.split_off(&(now_us + 1, 0));
+            std::mem::replace(alarms, later)
+        });
+        due.into_values().for_each(Waker::wake);
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions without I/O: input and the present time go in, verdicts come out.
 
+pub mod admission;
+pub mod allowance;
 pub mod alone;
 pub mod bind;
 pub mod drain;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,8 @@
 
 mod reader;
 
+pub(crate) use reader::line_of;
+
 use {
     crate::{ask::secret::Secret, place::Place},
     derive_more::{Display, Error},
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -399,7 +399,7 @@
 }
 
 /// Line of a key, or of its section if the key is missing; zero if neither is there.
-fn line_of(text: &str, section: &str, key: &str) -> usize {
+pub(crate) fn line_of(text: &str, section: &str, key: &str) -> usize {
     let header = format!("[{section}]");
     let mut current = section.is_empty();
     let mut section_line = 0;
