--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -40,6 +40,9 @@
 /// second apart to see that it is not ready, and its clients send until then.
 const STAY_MS: u64 = 2_500;
 
+/// Interval of the line that tells the daemon's load.
+const LOAD_INTERVAL_MS: u64 = 2_000;
+
 /// Interval at which the settings file is looked at.
 const SETTINGS_INTERVAL_MS: u64 = 1_000;
 
@@ -112,6 +115,7 @@
         endless("configuration", registry::follow_config(Rc::clone(mesh))),
         endless("sweep", registry::sweep(Rc::clone(mesh))),
         endless("gate", tick(Rc::clone(mesh))),
+        endless("load", report_load(Rc::clone(mesh))),
         endless("settings", watch_settings(Rc::clone(mesh), path)),
     ]
 }
@@ -142,6 +146,24 @@
     }
 }
 
+/// Logs the load of the gate and the levels at the edge at an interval.
+async fn report_load(mesh: Rc<Mesh>) {
+    loop {
+        sleep_ms(LOAD_INTERVAL_MS).await;
+        let load = mesh.gate.borrow().load(now_us());
+        let levels = mesh.admission.borrow().levels();
+        tracing::info!(
+            in_flight = load.in_flight,
+            queued = load.queued,
+            limit = load.limit,
+            latency_us = load.latency_us,
+            clients = mesh.clients.get(),
+            levels,
+            "load"
+        );
+    }
+}
+
 /// Waits for SIGTERM, and then for the end of what is under way.
 async fn stop(mesh: &Rc<Mesh>, signals: async_channel::Receiver<i32>) {
     loop {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -158,6 +158,15 @@
         level.map_or(1.0, |level| (level.value - place).clamp(PROBE_SHARE, 1.0))
     }
 
+    /// Level of each scarce service with the number of classes that lead there, for logs.
+    pub fn levels(&self) -> String {
+        let levels = self.levels.iter().map(|(service, level)| {
+            let classes = self.leading_to(service);
+            format!("{service}:{:.2}/{classes}", level.value)
+        });
+        levels.collect::<Vec<_>>().join(" ")
+    }
+
     /// Classes that lead to the same service and come before this one.
     fn place(&self, name: &str, class: &Class) -> usize {
         let before = self.classes.iter().filter(|(other, known)| {
--- /dev/null
+++ b/tests/mesh_routes.rs
@@ -0,0 +1,169 @@
+//! Routes of a configuration, and the platform's document of it.
+
+use {
+    shallotdeal::{
+        mesh::{
+            protocol::{ControlCall, Protocol},
+            routes::{ClientLimits, ConfigVersion, Route, RouteTable, Share, Splitter},
+        },
+        platform::WireProtocol,
+        request::Importance,
+    },
+    smol_str::SmolStr,
+    std::collections::BTreeMap,
+};
+
+const DOCUMENT: &str = r#"{"Version":"r12","Services":[{"Name":"a","HealthPath":"/h"},{"Name":"b"}],
+"Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,"IdleTimeoutMs":400},
+"VirtualHosts":[{"Host":"One.example","Paths":[
+{"Name":"r1","Prefix":"/x/","Kind":"idempotent","TimeoutMs":800,"TargetLatencyMs":500,"Priority":2,"Service":"a","MaxAttempts":2},
+{"Name":"r2","Prefix":"/x/y/","Kind":"non_idempotent","TimeoutMs":900,"TargetLatencyMs":500,
+"TrafficSplit":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],"MaxAttempts":1}]}]}"#;
+
+fn decode(document: &str) -> Result<RouteTable, String> {
+    WireProtocol
+        .decode_config(document.as_bytes())
+        .map_err(|error| error.to_string())
+}
+
+fn route(prefix: &str, weights: &[u32]) -> Route {
+    let shares = weights.iter().enumerate().map(|(index, &weight)| Share {
+        service: SmolStr::from(format!("s{index}")),
+        weight,
+    });
+    Route {
+        name: "route".into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout_ms: 1_000,
+        target_latency_ms: 500,
+        importance: Importance(0),
+        max_attempts: 2,
+        shares: shares.collect(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = decode(DOCUMENT).unwrap();
+    assert_eq!(table.version, ConfigVersion(12));
+    let name = |host, path| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("one.example", "/x/1"), Some("r1".into()));
+    assert_eq!(name("ONE.example:80", "/x/y/1"), Some("r2".into()));
+    assert_eq!(name("one.example", "/x"), None);
+    assert_eq!(name("two.example", "/x/1"), None);
+}
+
+#[test]
+fn a_document_is_decoded_into_checked_routes() {
+    let table = decode(DOCUMENT).unwrap();
+    let route = table.find("one.example", "/x/y/").unwrap();
+    assert!(!route.idempotent);
+    assert_eq!(route.importance, Importance(0));
+    assert_eq!(route.shares.len(), 2);
+    assert_eq!(table.limits.idle_timeout_ms, 400);
+}
+
+#[test]
+fn malformed_documents_are_refused() {
+    for (from, to) in [
+        ("\"r12\"", "\"12\""),
+        ("\"idempotent\"", "\"sometimes\""),
+        ("\"/x/\"", "\"/x\""),
+        ("\"TimeoutMs\":800,", ""),
+        ("\"TimeoutMs\":800", "\"TimeoutMs\":0"),
+        ("\"Service\":\"a\"", "\"Service\":\"c\""),
+        ("\"MaxAttempts\":2", "\"MaxAttempts\":0"),
+        ("\"MaxAttempts\":1}]}]}", ""),
+    ] {
+        let document = DOCUMENT.replacen(from, to, 1);
+        assert_ne!(document, DOCUMENT);
+        assert!(decode(&document).is_err(), "{from} -> {to}");
+    }
+}
+
+#[test]
+fn every_run_of_requests_is_split_by_weight() {
+    let mut splitter = Splitter::default();
+    let route = route("/", &[90, 9, 1]);
+    let services: Vec<_> = (0..1_000).map(|_| splitter.next(&route)).collect();
+    for window in services.windows(100) {
+        let mut counts = BTreeMap::new();
+        for service in window {
+            *counts.entry(service.as_str()).or_insert(0_i32) += 1;
+        }
+        assert!((counts["s0"] - 90).abs() <= 1, "{counts:?}");
+        assert!((counts["s1"] - 9).abs() <= 1, "{counts:?}");
+    }
+}
+
+#[test]
+fn a_table_without_a_usable_share_is_refused() {
+    let routes = [("host".into(), route("/", &[0]))];
+    assert!(RouteTable::new(ConfigVersion(1), ClientLimits::default(), routes).is_err());
+}
+
+fn control(path: &str, body: &str) -> Result<ControlCall, String> {
+    let text = format!("POST {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+    let (head, _) = shallotdeal::mesh::http::parse_request(text.as_bytes())
+        .unwrap()
+        .unwrap();
+    WireProtocol
+        .control_call(&head, body.as_bytes())
+        .map_err(|error| error.to_string())
+}
+
+const BEAT: &str = r#"{"Service":"a","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":140,
+"State":"draining","ColdRemainingMs":0.5,"Sequence":4,"born":1700000000000}"#;
+
+#[test]
+fn a_workers_report_is_decoded() {
+    let call = control("/shallotdeal/Instances.Heartbeat/i-1", BEAT).unwrap();
+    let ControlCall::Report(report) = call else {
+        panic!("{call:?}");
+    };
+    assert_eq!(report.life.id, "i-1");
+    assert_eq!(report.life.born_unix_ms, 1_700_000_000_000);
+    assert!(report.is_draining);
+    assert_eq!((report.slots, report.sequence), (140, 4));
+}
+
+#[test]
+fn odd_reports_are_refused_whole() {
+    for (from, to) in [
+        ("\"Slots\":140", "\"Slots\":\"140\""),
+        ("\"Slots\":140", "\"Slots\":0"),
+        ("\"draining\"", "\"resting\""),
+        (",\"born\":1700000000000", ""),
+        ("1700000000000", "17.5"),
+        ("10.0.0.1:80", "nowhere"),
+    ] {
+        let body = BEAT.replacen(from, to, 1);
+        assert_ne!(body, BEAT);
+        assert!(
+            control("/shallotdeal/Instances.Heartbeat/i-1", &body).is_err(),
+            "{to}"
+        );
+    }
+    assert!(control("/shallotdeal/Instances.Heartbeat/", BEAT).is_err());
+}
+
+#[test]
+fn a_departure_may_have_no_body() {
+    let leave = control("/shallotdeal/Instances.Deregister/i-1", "").unwrap();
+    assert_eq!(
+        leave,
+        ControlCall::Leave {
+            worker_id: "i-1".into(),
+            born_unix_ms: None
+        }
+    );
+    let leave = control("/shallotdeal/Instances.Deregister/i-1", "{\"born\":7}").unwrap();
+    assert_eq!(
+        leave,
+        ControlCall::Leave {
+            worker_id: "i-1".into(),
+            born_unix_ms: Some(7)
+        }
+    );
+}
