Tell the load of a service over all of its workers

The sender now tells the load over the workers of its region, and old reports lapse. Ruled out: the gates' own limits (26 of 26 slots in the logs).

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -51,6 +51,9 @@
 /// Candidates that are compared; a larger service is sampled.
 const MAX_COMPARED: usize = 12;
 
+/// Age at which a gate's report no longer tells its load, beside the time that its work takes.
+const REPORT_STALE_US: f64 = 200_000.0;
+
 /// Relative noise on each estimate, so that daemons with the same view spread their choices.
 const NOISE: f64 = 0.05;
 
@@ -117,6 +120,7 @@
     /// What its daemon says.
     pub announcement: Announcement,
     load: GateLoad,
+    load_at_us: u64,
     outstanding: u32,
     sent_since_report: u32,
     latency_us: f64,
@@ -256,6 +260,31 @@
         }
     }
 
+    /// Work in hand over the room for it, in thousandths, over the workers of a service that are
+    /// near enough to take requests from here: those of the region, or all if there are none.
+    pub fn load_permille(&self, service: &str, now_us: u64) -> u32 {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let usable = || {
+            let members = keys.iter().map(|key| &self.members[*key]);
+            members.filter(|member| member.is_usable(&[]) && now_us >= member.unreachable_until_us)
+        };
+        let load = |is_near: &dyn Fn(&Member) -> bool| {
+            usable()
+                .filter(|member| is_near(member))
+                .fold((0.0, 0.0), |(work, room), member| {
+                    (work + member.in_hand(now_us), room + member.limit())
+                })
+        };
+        let (work, room) = match load(&|member| member.announcement.region == self.region) {
+            (_, 0.0) => load(&|_| true),
+            near => near,
+        };
+        if room == 0.0 {
+            return 0;
+        }
+        (work * 1_000.0 / room) as u32
+    }
+
     /// Counts a send.
     pub fn sent(&mut self, key: MemberKey) {
         if let Some(member) = self.members.get_mut(key) {
@@ -304,6 +333,7 @@
         Self {
             announcement,
             load: GateLoad::default(),
+            load_at_us: 0,
             outstanding: 0,
             sent_since_report: 0,
             latency_us: 0.0,
@@ -350,20 +380,33 @@
         self.failure_share * (-age_us / FAILURE_HALF_LIFE_US * std::f64::consts::LN_2).exp()
     }
 
+    /// Requests that the worker may have at a time.
+    fn limit(&self) -> f64 {
+        let worker = self.announcement.worker.as_ref();
+        let slots = worker.map_or(1, |worker| worker.slots.max(1));
+        match self.load.limit {
+            0 => f64::from(slots),
+            limit => f64::from(limit),
+        }
+    }
+
+    /// Requests at the worker and at its gate: as last reported and sent from here since, or what
+    /// was sent from here once the report is too old.
+    fn in_hand(&self, now_us: u64) -> f64 {
+        let outstanding = f64::from(self.outstanding);
+        let age_us = now_us.saturating_sub(self.load_at_us) as f64;
+        if age_us > REPORT_STALE_US + 2.0 * self.latency_us {
+            return outstanding;
+        }
+        let reported = self.load.in_flight + self.load.queued + self.sent_since_report;
+        f64::from(reported).max(outstanding)
+    }
+
     /// Expected time to an answer from this worker.
     fn expected_us(&self, now_us: u64) -> f64 {
-        let slots = self
-            .announcement
-            .worker
-            .as_ref()
-            .map_or(1, |worker| worker.slots);
-        let limit = match self.load.limit {
-            0 => f64::from(slots.max(1)),
-            limit => f64::from(limit),
-        };
+        let limit = self.limit();
         let latency_us = self.latency_us.max(f64::from(self.load.latency_us));
-        let in_hand = f64::from(self.load.in_flight + self.load.queued + self.sent_since_report);
-        let in_hand = in_hand.max(f64::from(self.outstanding));
+        let in_hand = self.in_hand(now_us);
         let waiting = (in_hand + 1.0 - limit).max(0.0);
         let busy = (in_hand / limit).min(1.0);
         // A worker near its limit is slower than one with room; a tenth breaks ties by load.
@@ -380,6 +423,7 @@
         self.outstanding = self.outstanding.saturating_sub(1);
         if let Some(load) = load {
             self.load = load;
+            self.load_at_us = now_us;
             self.sent_since_report = 0;
         }
         let failed = match ended {
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -5,7 +5,7 @@
         mesh::{
             Mesh,
             directory::{Choice, Ended},
-            frame::{Call, CallResult, Reply, WorkerLife},
+            frame::{Call, CallResult, Pressure, Reply, WorkerLife},
             gate::{self, Running},
             http::{self, Head},
             link::{Link, LinkResult},
@@ -328,10 +328,12 @@
                 return Sent::Refused(Refusal::unknown(Reason::Broken));
             }
         };
-        self.note_pressure(out, &reply);
         trail.sends += u32::from(reply.was_sent);
         trail.turned_away += usize::from(!reply.was_sent);
-        self.received(out, choice, picked, reply, payload, trail, sent_us)
+        let pressure = reply.pressure.clone();
+        let sent = self.received(out, choice, picked, reply, payload, trail, sent_us);
+        self.note_pressure(out, pressure.as_ref());
+        sent
     }
 
     #[allow(
@@ -397,9 +399,17 @@
         Link::call(&link, self, call, parts).await?.reply().await
     }
 
-    fn note_pressure(&self, out: &Outgoing, reply: &Reply) {
-        let Some(pressure) = &reply.pressure else {
-            return;
+    /// Notes the most loaded service on the way of a request: the one that it was sent to, as seen
+    /// from here over all of its workers, or one that its own calls met.
+    fn note_pressure(&self, out: &Outgoing, met: Option<&Pressure>) {
+        let now_us = now_us();
+        let own = Pressure {
+            service: out.service.clone(),
+            load_permille: self.directory.borrow().load_permille(&out.service, now_us),
+        };
+        let pressure = match met {
+            Some(met) if met.load_permille >= own.load_permille => met,
+            _ => &own,
         };
         match &out.parent {
             Some(parent) => self.gate.borrow_mut().note_pressure(parent, pressure),
@@ -408,7 +418,7 @@
                 out.route.importance,
                 &pressure.service,
                 pressure.load_permille,
-                now_us(),
+                now_us,
             ),
         }
     }
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -103,13 +103,6 @@
     pub latency_us: u32,
 }
 
-impl GateLoad {
-    /// Work in hand over the room for it, in thousandths.
-    pub fn permille(&self) -> u32 {
-        (self.in_flight + self.queued) * 1_000 / self.limit.max(1)
-    }
-}
-
 /// The most loaded service that a request or a call of it met.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -147,7 +140,7 @@
     pub was_sent: bool,
     /// Load of the gate.
     pub load: GateLoad,
-    /// Most loaded service on the way.
+    /// Most loaded service that the calls of the request met.
     pub pressure: Option<Pressure>,
 }
 
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -334,32 +334,18 @@
             "call refused by gate");
         self.metrics.count("gate.refused");
         (
-            self.reply(call, CallResult::Refused(refusal), was_sent, None),
+            self.reply(CallResult::Refused(refusal), was_sent, None),
             Vec::new(),
         )
     }
 
-    fn reply(
-        &self,
-        call: &Call,
-        result: CallResult,
-        was_sent: bool,
-        met: Option<Pressure>,
-    ) -> Reply {
+    fn reply(&self, result: CallResult, was_sent: bool, met: Option<Pressure>) -> Reply {
         let load = self.gate.borrow().load(now_us());
-        let own = Pressure {
-            service: call.service.clone(),
-            load_permille: load.permille(),
-        };
-        let pressure = match met {
-            Some(met) if met.load_permille >= own.load_permille => met,
-            _ => own,
-        };
         Reply {
             result,
             was_sent,
             load,
-            pressure: Some(pressure),
+            pressure: met,
         }
     }
 
@@ -465,7 +451,7 @@
             not_run: facts.is_not_run,
         };
         payload.extend_from_slice(&answer.body);
-        (self.reply(call, result, true, met), payload)
+        (self.reply(result, true, met), payload)
     }
 
     fn broken(self: &Rc<Self>, call: &Call, error: &ExchangeError) -> (Reply, Vec<u8>) {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -176,3 +176,28 @@
     assert!(directory.learn(reborn));
     assert!(directory.choose("s", &[], SECOND_US).is_some());
 }
+
+#[test]
+fn the_load_of_a_service_counts_idle_workers_of_the_region() {
+    let mut directory = directory(&[("a", "r"), ("b", "r"), ("c", "q")]);
+    let choice = directory.choose("s", &[], SECOND_US).unwrap();
+    directory.sent(choice.key);
+    let ended = Ended::Answered { took_us: 5_000 };
+    directory.ended(choice.key, ended, load(10, 8, 5_000), SECOND_US);
+    // 18 in hand at one worker of two with ten slots each; the other region does not count.
+    assert_eq!(directory.load_permille("s", SECOND_US + 1_000), 900);
+}
+
+#[test]
+fn an_old_report_does_not_keep_a_worker_out() {
+    let mut directory = directory(&[("a", "r"), ("b", "r")]);
+    let choice = directory.choose("s", &[], SECOND_US).unwrap();
+    directory.sent(choice.key);
+    let ended = Ended::Answered { took_us: 5_000 };
+    directory.ended(choice.key, ended, load(10, 100, 5_000), SECOND_US);
+    let soon = directory.choose("s", &[], SECOND_US + 1_000).unwrap();
+    assert_ne!(soon.vm, choice.vm);
+    let later = directory.choose("s", &[], 2 * SECOND_US).unwrap();
+    assert_eq!(later.vm, choice.vm);
+    assert_eq!(directory.load_permille("s", 2 * SECOND_US), 0);
+}
