--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -36,10 +36,6 @@
 /// Part of the grace period that is kept for the end of the process itself.
 const GRACE_RESERVE_MS: u64 = 700;
 
-/// Time after SIGTERM for which the daemon stays, though idle: the platform needs two questions a
-/// second apart to see that it is not ready, and its clients send until then.
-const STAY_MS: u64 = 2_500;
-
 /// Interval of the line that tells the daemon's load.
 const LOAD_INTERVAL_MS: u64 = 2_000;
 
@@ -75,7 +71,8 @@
         });
         tracing::info!(vm = %mesh.settings.name, service = %mesh.settings.service, "started");
         mesh.publish();
-        let tasks = tasks(&mesh, path);
+        let mut tasks = tasks(&mesh);
+        tasks.push(endless("settings", watch_settings(Rc::clone(&mesh), path)));
         let ended = select_all(tasks).map(|(fault, _, _)| fault);
         let stopped = stop(&mesh, received);
         futures::pin_mut!(ended, stopped);
@@ -93,7 +90,7 @@
 }
 
 /// The daemon's long tasks; each one's end is a fault of the process.
-fn tasks(mesh: &Rc<Mesh>, path: PathBuf) -> Vec<LocalBoxFuture<'static, TaskError>> {
+pub fn tasks(mesh: &Rc<Mesh>) -> Vec<LocalBoxFuture<'static, TaskError>> {
     let settings = &mesh.settings;
     vec![
         listener(
@@ -116,7 +113,6 @@
         endless("sweep", registry::sweep(Rc::clone(mesh))),
         endless("gate", tick(Rc::clone(mesh))),
         endless("load", report_load(Rc::clone(mesh))),
-        endless("settings", watch_settings(Rc::clone(mesh), path)),
     ]
 }
 
@@ -179,13 +175,12 @@
             }
         }
     }
-    mesh.stop();
     let started_us = now_us();
+    mesh.stop(started_us);
     let last_us = started_us + mesh.settings.grace_ms.saturating_sub(GRACE_RESERVE_MS) * 1_000;
-    let stay_us = started_us + STAY_MS * 1_000;
     loop {
         let now_us = now_us();
-        let is_idle = mesh.in_hand() == 0 && now_us >= stay_us;
+        let is_idle = mesh.in_hand() == 0 && !mesh.takes_requests(now_us);
         if is_idle || now_us >= last_us {
             tracing::info!(
                 in_hand = mesh.in_hand(),
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -29,9 +29,10 @@
 /// centres are paid for.
 const OTHER_CENTRE_US: f64 = 15_000.0;
 
-/// Extra time that is accepted before a request leaves its region; those bytes cost eight times as
-/// much, and the way there and back takes 24 ms at both users' sites.
-const OTHER_REGION_US: f64 = 120_000.0;
+/// Extra time that is accepted before a request leaves its region. Those bytes cost eight times as
+/// much, and under a common overload the other region has no more room. It stays below the cost of
+/// a failure, so a region whose workers all fail is left.
+const OTHER_REGION_US: f64 = 300_000.0;
 
 /// Time that a failed send costs a request: detection, and a second send.
 const FAILURE_COST_US: f64 = 400_000.0;
@@ -114,6 +115,15 @@
     Cancelled,
 }
 
+/// How far a request may go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// To any worker.
+    Anywhere,
+    /// Not beyond the region, as overload is no reason to leave it.
+    Region,
+}
+
 /// A worker with what is known of it.
 #[derive(Debug)]
 pub struct Member {
@@ -215,7 +225,13 @@
     }
 
     /// Chooses a worker that has not been tried.
-    pub fn choose(&mut self, service: &str, tried: &[WorkerLife], now_us: u64) -> Option<Choice> {
+    pub fn choose(
+        &mut self,
+        service: &str,
+        tried: &[WorkerLife],
+        reach: Reach,
+        now_us: u64,
+    ) -> Option<Choice> {
         let keys = self.by_service.get(service)?;
         let first = match keys.len() {
             0 => return None,
@@ -230,7 +246,8 @@
         let mut best: Option<(f64, MemberKey)> = None;
         for &key in compared {
             let member = &self.members[key];
-            if !member.is_usable(tried) {
+            let is_far = reach == Reach::Region && member.announcement.region != self.region;
+            if is_far || !member.is_usable(tried) {
                 continue;
             }
             let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -4,7 +4,7 @@
     crate::{
         mesh::{
             Mesh,
-            directory::{Choice, Ended},
+            directory::{Choice, Ended, Reach},
             frame::{Call, CallResult, Pressure, Reply, WorkerLife},
             gate::{self, Running},
             http::{self, Head},
@@ -13,7 +13,7 @@
             routes::Route,
             runtime::{now_us, until},
         },
-        policy::admission::Verdict,
+        policy::admission::{Met, Verdict},
         request::{Importance, Outcome, Reason, Refusal, ServiceName},
     },
     futures::future::{Either, select},
@@ -77,8 +77,9 @@
 }
 
 /// What has become of a request so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Trail {
+    reach: Reach,
     tried: Vec<WorkerLife>,
     sends: u32,
     turned_away: usize,
@@ -194,11 +195,15 @@
         out
     }
 
-    /// Refuses a caller's request that has no prospect deep in the call graph.
+    /// Refuses a caller's request that a stopping daemon may not live to answer, or that has no
+    /// prospect deep in the call graph.
     fn admit(&self, out: &Outgoing, now_us: u64) -> Option<Refusal> {
         if out.depth > 0 {
             return None;
         }
+        if !self.takes_requests(now_us) {
+            return Some(Refusal::not_run(Reason::Draining));
+        }
         let draw = self.rng.borrow_mut().random();
         let verdict = self
             .admission
@@ -223,7 +228,13 @@
 
     /// Sends the request to workers until one answers or there is no use in going on.
     async fn forward(self: &Rc<Self>, out: &Outgoing, body: &[u8]) -> Result<Answer, Refusal> {
-        let mut trail = Trail::default();
+        let mut trail = Trail {
+            reach: Reach::Anywhere,
+            tried: Vec::new(),
+            sends: 0,
+            turned_away: 0,
+            may_have_run: false,
+        };
         self.allowances
             .borrow_mut()
             .entry(out.service.clone())
@@ -235,10 +246,11 @@
             if now_us >= out.deadline_us {
                 return Err(trail.conclude(Refusal::not_run(Reason::Deadline)));
             }
-            let choice = self
-                .directory
-                .borrow_mut()
-                .choose(&out.service, &trail.tried, now_us);
+            let reach = trail.reach;
+            let choice =
+                self.directory
+                    .borrow_mut()
+                    .choose(&out.service, &trail.tried, reach, now_us);
             let Some(choice) = choice else {
                 return Err(trail.conclude(last));
             };
@@ -357,7 +369,11 @@
                 not_run,
             } => {
                 let took_us = now_us().saturating_sub(sent_us);
-                let has_failed = not_run || status >= 500;
+                let has_failed = not_run || (status >= 500 && !reply.met_failure);
+                let mut allowances = self.allowances.borrow_mut();
+                let allowance = allowances.entry(out.service.clone()).or_default();
+                allowance.ran(reply.made_calls);
+                drop(allowances);
                 let ended = if has_failed {
                     Ended::Failed
                 } else {
@@ -385,6 +401,9 @@
                     let mut directory = self.directory.borrow_mut();
                     directory.refuse_life(choice.key, &choice.life);
                 }
+                if !reply.was_sent && refusal.reason.is_load() {
+                    trail.reach = Reach::Region;
+                }
                 trail.may_have_run |= refusal.outcome == Outcome::Unknown;
                 Sent::Refused(refusal)
             }
@@ -406,6 +425,7 @@
         let own = Pressure {
             service: out.service.clone(),
             load_permille: self.directory.borrow().load_permille(&out.service, now_us),
+            calls: 1,
         };
         let pressure = match met {
             Some(met) if met.load_permille >= own.load_permille => met,
@@ -413,19 +433,26 @@
         };
         match &out.parent {
             Some(parent) => self.gate.borrow_mut().note_pressure(parent, pressure),
-            None => self.admission.borrow_mut().report(
-                &out.route.name,
-                out.route.importance,
-                &pressure.service,
-                pressure.load_permille,
-                now_us,
-            ),
+            None => {
+                let met = Met {
+                    service: &pressure.service,
+                    load_permille: pressure.load_permille,
+                    calls: pressure.calls,
+                };
+                let (class, importance) = (&out.route.name, out.route.importance);
+                let mut admission = self.admission.borrow_mut();
+                admission.report(class, importance, met, now_us);
+            }
         }
     }
 
     /// Turns the result into the client's answer, and logs it.
     fn conclude(&self, out: &Outgoing, result: Result<Answer, Refusal>) -> Answer {
         let took_ms = now_us().saturating_sub(out.started_us) / 1_000;
+        if let Some(parent) = &out.parent {
+            let has_failed = result.as_ref().map_or(true, |answer| answer.status >= 500);
+            self.gate.borrow_mut().note_call(parent, has_failed);
+        }
         match result {
             Ok(answer) => {
                 self.metrics.count(if answer.status < 400 {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -111,6 +111,8 @@
     pub service: ServiceName,
     /// Work in hand over the room for it, in thousandths.
     pub load_permille: u32,
+    /// Calls that were made to it.
+    pub calls: u32,
 }
 
 /// What became of a call.
@@ -138,6 +140,10 @@
     pub result: CallResult,
     /// Whether the worker was sent the request, in whole or in part.
     pub was_sent: bool,
+    /// Whether the run made calls of its own.
+    pub made_calls: bool,
+    /// Whether one of those failed for good, so that the failure is not the worker's own.
+    pub met_failure: bool,
     /// Load of the gate.
     pub load: GateLoad,
     /// Most loaded service that the calls of the request met.
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -40,8 +40,19 @@
     pub depth: u8,
     /// Deadline on the monotonic clock.
     pub deadline_us: u64,
-    /// Most loaded service that its calls met.
+    /// What its calls met.
+    pub met: Met,
+}
+
+/// What the calls of a running request met.
+#[derive(Debug, Clone, Default)]
+pub struct Met {
+    /// Most loaded service.
     pub pressure: Option<Pressure>,
+    /// Whether there were calls.
+    pub calls: bool,
+    /// Whether a call failed for good.
+    pub failure: bool,
 }
 
 /// Local worker as it last described itself.
@@ -212,16 +223,27 @@
         }
     }
 
-    /// Notes the load that a call of a running request met.
-    pub fn note_pressure(&mut self, parent: &str, pressure: &Pressure) {
-        if let Some(running) = self.running.get_mut(parent) {
-            let is_new = running
-                .pressure
-                .as_ref()
-                .is_none_or(|known| known.load_permille < pressure.load_permille);
-            if is_new {
-                running.pressure = Some(pressure.clone());
+    /// Notes the load that a call of a running request met. Of one service the latest counts, of
+    /// several the most loaded.
+    pub fn note_pressure(&mut self, parent: &str, met: &Pressure) {
+        let Some(running) = self.running.get_mut(parent) else {
+            return;
+        };
+        match &mut running.met.pressure {
+            Some(known) if known.service == met.service => {
+                known.load_permille = met.load_permille;
+                known.calls += met.calls;
             }
+            Some(known) if known.load_permille >= met.load_permille => {}
+            other => *other = Some(met.clone()),
+        }
+    }
+
+    /// Notes the end of a call of a running request.
+    pub fn note_call(&mut self, parent: &str, has_failed: bool) {
+        if let Some(running) = self.running.get_mut(parent) {
+            running.met.calls = true;
+            running.met.failure |= has_failed;
         }
     }
 
@@ -334,18 +356,20 @@
             "call refused by gate");
         self.metrics.count("gate.refused");
         (
-            self.reply(CallResult::Refused(refusal), was_sent, None),
+            self.reply(CallResult::Refused(refusal), was_sent, Met::default()),
             Vec::new(),
         )
     }
 
-    fn reply(&self, result: CallResult, was_sent: bool, met: Option<Pressure>) -> Reply {
+    fn reply(&self, result: CallResult, was_sent: bool, met: Met) -> Reply {
         let load = self.gate.borrow().load(now_us());
         Reply {
             result,
             was_sent,
             load,
-            pressure: met,
+            made_calls: met.calls,
+            met_failure: met.failure,
+            pressure: met.pressure,
         }
     }
 
@@ -365,7 +389,7 @@
             bucket: call.bucket,
             depth: call.depth,
             deadline_us,
-            pressure: None,
+            met: Met::default(),
         };
         self.gate
             .borrow_mut()
@@ -390,7 +414,9 @@
         let met = {
             let gate = self.gate.borrow();
             let running = gate.running.get(&call.attempt_id);
-            running.and_then(|running| running.pressure.clone())
+            running
+                .map(|running| running.met.clone())
+                .unwrap_or_default()
         };
         match result {
             Ok(answer) => {
@@ -430,7 +456,7 @@
         call: &Call,
         slot: &mut Slot<'_>,
         answer: WorkerAnswer,
-        met: Option<Pressure>,
+        met: Met,
     ) -> (Reply, Vec<u8>) {
         let facts = self.protocol.answer_facts(&answer.head);
         if facts.is_other_worker {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -41,7 +41,7 @@
     rand_chacha::ChaCha8Rng,
     registry::Registry,
     routes::{ClientLimits, ConfigVersion, RouteTable, Splitter},
-    runtime::{detach, now_us},
+    runtime::detach,
     settings::MeshSettings,
     std::{
         cell::{Cell, RefCell},
@@ -50,6 +50,10 @@
     },
 };
 
+/// Time after SIGTERM for which clients' requests are taken: the platform needs two questions a
+/// second apart to see that the daemon is not ready, and its clients send until then.
+const LAST_REQUEST_MS: u64 = 2_500;
+
 /// State of one daemon.
 pub struct Mesh {
     /// Settings of the process.
@@ -90,7 +94,7 @@
     pub is_directory_known: Cell<bool>,
     /// Whether the own entry has vanished from the store.
     pub is_entry_missing: Cell<bool>,
-    is_stopping: Cell<bool>,
+    stopping_since_us: Cell<Option<u64>>,
     born_unix_ms: u64,
     announced: RefCell<Announcement>,
 }
@@ -155,7 +159,7 @@
             in_progress: Cell::new(0),
             is_directory_known: Cell::new(false),
             is_entry_missing: Cell::new(false),
-            is_stopping: Cell::new(false),
+            stopping_since_us: Cell::new(None),
             born_unix_ms,
             announced: RefCell::new(announced),
         })
@@ -168,13 +172,20 @@
 
     /// Tells whether the daemon is about to end.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.stopping_since_us.get().is_some()
+    }
+
+    /// Tells whether new requests of clients are taken. A stopping daemon takes them for a while,
+    /// and refuses later ones, as it may not live to answer them.
+    pub fn takes_requests(&self, now_us: u64) -> bool {
+        let since_us = self.stopping_since_us.get();
+        since_us.is_none_or(|since_us| now_us.saturating_sub(since_us) < LAST_REQUEST_MS * 1_000)
     }
 
     /// Takes no new work; what is under way goes on.
-    pub fn stop(self: &Rc<Self>) {
-        self.is_stopping.set(true);
-        self.gate.borrow_mut().stop(now_us());
+    pub fn stop(self: &Rc<Self>, now_us: u64) {
+        self.stopping_since_us.set(Some(now_us));
+        self.gate.borrow_mut().stop(now_us);
         self.publish();
     }
 
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -10,11 +10,22 @@
 /// Parts that a window is counted in.
 const SLICES: u64 = 20;
 
-/// Levels of a call tree that get an equal part of the share; the users' graphs have four.
-const LEVELS: f64 = 4.0;
+/// Part of the ratio for services that make no calls of their own. A send there repeats nothing else,
+/// so it does the most for its price.
+const LEAF_PART: f64 = 0.5;
 
-/// Part of the share that is used at most; the rest covers sends that cross a window's edge.
-const USED_SHARE: f64 = 0.9;
+/// Part of the ratio for each level above them. The users' graphs have three such levels; with the
+/// leaves they use up 0.95 of the ratio, and the rest covers sends that cross a window's edge.
+const INNER_PART: f64 = 0.15;
+
+/// Levels that get the whole part; each further one gets half of the one before.
+const INNER_LEVELS: u8 = 3;
+
+/// Weight of one run in the share of runs that made calls.
+const CALLS_WEIGHT: f64 = 0.05;
+
+/// Share of runs with calls up to which a service counts as a leaf.
+const LEAF_SHARE: f64 = 0.02;
 
 /// Bound on extra sends that operators set.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,6 +42,7 @@
     slices: VecDeque<(u64, u32)>,
     firsts: u64,
     extra: VecDeque<(u64, f64)>,
+    calling_share: f64,
 }
 
 impl Allowance {
@@ -45,11 +57,22 @@
         self.firsts += 1;
     }
 
+    /// Takes whether a run at the service made calls of its own.
+    pub fn ran(&mut self, made_calls: bool) {
+        let calling = f64::from(u8::from(made_calls));
+        self.calling_share += (calling - self.calling_share) * CALLS_WEIGHT;
+    }
+
     /// Tells whether one more send of a request at this depth is within the bound, and counts it.
     pub fn extra(&mut self, rules: AllowanceRules, depth: u8, now_us: u64) -> bool {
         self.expire(rules, now_us);
-        let deeper = (f64::from(depth) + 1.0 - LEVELS).max(0.0);
-        let ratio = rules.ratio * USED_SHARE / LEVELS * 0.5_f64.powf(deeper);
+        let part = if self.calling_share <= LEAF_SHARE {
+            LEAF_PART
+        } else {
+            let deeper = (depth + 1).saturating_sub(INNER_LEVELS);
+            INNER_PART * 0.5_f64.powi(i32::from(deeper))
+        };
+        let ratio = rules.ratio * part;
         let spent: f64 = self.extra.iter().map(|(_, sends)| sends).sum();
         if spent + 1.0 > self.firsts as f64 * ratio {
             return false;
--- a/src/request.rs
+++ b/src/request.rs
@@ -157,6 +157,13 @@
     Internal,
 }
 
+impl Reason {
+    /// Tells whether the request was turned away for want of room.
+    pub fn is_load(self) -> bool {
+        matches!(self, Self::Overload | Self::WorkerFull | Self::Deadline)
+    }
+}
+
 /// A request that got no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Display, Error, Serialize, Deserialize)]
--- /dev/null
+++ b/tests/mesh/store.rs
@@ -0,0 +1,74 @@
+//! The store is away, forgets its history, or loses leases.
+
+use {
+    crate::world::{Fleet, config, eventually, run},
+    shallotdeal::mesh::runtime::{now_us, sleep_ms},
+};
+
+#[test]
+fn entries_that_lapsed_are_back_two_seconds_after_an_outage() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.catalog.is_down.set(true);
+        fleet.catalog.lapse();
+        sleep_ms(2_500).await;
+        assert_eq!(fleet.ask("GET", "/read/x", "id").await.head.status, 200);
+        fleet.catalog.is_down.set(false);
+        let back_us = now_us();
+        eventually("all entries", || fleet.catalog.keys().len() == 4).await;
+        assert!(now_us() - back_us < 2_000_000);
+        sleep_ms(3_500).await;
+        assert!(
+            fleet
+                .vms
+                .iter()
+                .all(|vm| vm.mesh.directory.borrow().len() == 3)
+        );
+    });
+}
+
+#[test]
+fn a_daemon_whose_entry_stays_away_is_gone() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        fleet.vms[1].kill();
+        fleet.catalog.lapse();
+        eventually("one daemon", || {
+            fleet.vms[0].mesh.directory.borrow().len() == 1
+        })
+        .await;
+        assert_eq!(fleet.ask("GET", "/read/x", "id").await.head.status, 200);
+    });
+}
+
+#[test]
+fn a_lost_history_is_read_anew() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        fleet
+            .catalog
+            .write("op/config", config(2, 1_500).as_bytes(), 0);
+        fleet.catalog.compact();
+        eventually("the version of the gap", || {
+            fleet.vms.iter().all(|vm| vm.mesh.config_version().0 == 2)
+        })
+        .await;
+        fleet
+            .catalog
+            .write("op/config", config(3, 1_500).as_bytes(), 0);
+        eventually("the version after it", || {
+            fleet.vms.iter().all(|vm| vm.mesh.config_version().0 == 3)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_quiet_fleet_writes_nothing() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let before = fleet.catalog.writes.get();
+        sleep_ms(4_500).await;
+        assert_eq!(fleet.catalog.writes.get(), before);
+    });
+}
--- /dev/null
+++ b/tests/mesh/world.rs
@@ -0,0 +1,506 @@
+//! Stand-ins, and a fleet of daemons among them.
+
+use {
+    async_io::Async,
+    async_trait::async_trait,
+    futures::future::LocalBoxFuture,
+    shallotdeal::{
+        mesh::{
+            Mesh, Parts,
+            conn::{Conn, write_all},
+            daemon,
+            frame::WorkerLife,
+            http::{self, Head},
+            protocol::{Catalog, CatalogChange, CatalogEntry, Protocol, Watched, WorkerReport},
+            runtime::{self, now_us, sleep_ms},
+            settings::MeshSettings,
+        },
+        place::{DataCentre, Region},
+        platform::WireProtocol,
+        policy::allowance::AllowanceRules,
+        store::{LeaseId, StoreError},
+    },
+    smol_str::SmolStr,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, BTreeSet},
+        net::{SocketAddr, TcpListener, TcpStream},
+        rc::Rc,
+    },
+};
+
+pub(crate) const ATTEMPT: &str = "X-Shallotdeal-Attempt-Id";
+const STAMP: &str = "X-Shallotdeal-Response-Stamp";
+
+/// Longest run of one test, far above what any needs.
+const TEST_LIMIT_MS: u64 = 30_000;
+
+/// Runs a test on the daemons' own executor.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let ended = runtime::block_on(async { runtime::within(TEST_LIMIT_MS, test).await });
+    assert!(ended.is_some(), "the test does not end");
+}
+
+/// Waits until something is true.
+pub(crate) async fn eventually(what: &str, is_true: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if is_true() {
+            return;
+        }
+        sleep_ms(20).await;
+    }
+    panic!("not seen: {what}");
+}
+
+fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// Store in memory.
+#[derive(Default)]
+pub(crate) struct TestCatalog {
+    items: RefCell<BTreeMap<String, (Vec<u8>, u64)>>,
+    history: RefCell<Vec<(u64, CatalogChange)>>,
+    revision: Cell<u64>,
+    oldest: Cell<u64>,
+    leases: RefCell<BTreeSet<u64>>,
+    next_lease: Cell<u64>,
+    pub(crate) is_down: Cell<bool>,
+    pub(crate) writes: Cell<u32>,
+}
+
+impl TestCatalog {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.is_down.get() {
+            return Err(StoreError::Unavailable {
+                step: "call",
+                peer: "store".into(),
+                detail: "down".into(),
+            });
+        }
+        Ok(())
+    }
+
+    fn change(&self, change: CatalogChange) {
+        self.revision.set(self.revision.get() + 1);
+        self.history
+            .borrow_mut()
+            .push((self.revision.get(), change));
+    }
+
+    pub(crate) fn write(&self, key: &str, value: &[u8], lease: u64) {
+        self.items
+            .borrow_mut()
+            .insert(key.into(), (value.to_vec(), lease));
+        self.change(CatalogChange::Put(CatalogEntry {
+            key: key.into(),
+            value: value.to_vec(),
+        }));
+    }
+
+    /// Ends all leases.
+    pub(crate) fn lapse(&self) {
+        self.leases.borrow_mut().clear();
+        let leased: Vec<String> = {
+            let items = self.items.borrow();
+            let leased = items.iter().filter(|(_, (_, lease))| *lease > 0);
+            leased.map(|(key, _)| key.clone()).collect()
+        };
+        for key in leased {
+            self.items.borrow_mut().remove(&key);
+            self.change(CatalogChange::Removed(key.into()));
+        }
+    }
+
+    /// Forgets the history.
+    pub(crate) fn compact(&self) {
+        self.history.borrow_mut().clear();
+        self.oldest.set(self.revision.get());
+    }
+
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.items.borrow().keys().cloned().collect()
+    }
+}
+
+#[async_trait(?Send)]
+impl Catalog for TestCatalog {
+    async fn list(&self, prefix: &str) -> Result<(Vec<CatalogEntry>, u64), StoreError> {
+        self.check()?;
+        let items = self.items.borrow();
+        let below = items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entries = below.map(|(key, (value, _))| CatalogEntry {
+            key: key.as_str().into(),
+            value: value.clone(),
+        });
+        Ok((entries.collect(), self.revision.get()))
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched, StoreError> {
+        let until_us = now_us() + wait_ms * 1_000;
+        loop {
+            self.check()?;
+            if after < self.oldest.get() {
+                return Ok(Watched::Compacted);
+            }
+            let changes: Vec<CatalogChange> = {
+                let history = self.history.borrow();
+                let later = history.iter().filter(|(revision, _)| *revision > after);
+                let below = later.filter(|(_, change)| match change {
+                    CatalogChange::Put(entry) => entry.key.starts_with(prefix),
+                    CatalogChange::Removed(key) => key.starts_with(prefix),
+                });
+                below.map(|(_, change)| change.clone()).collect()
+            };
+            if !changes.is_empty() || now_us() > until_us {
+                let revision = self.revision.get();
+                return Ok(Watched::Changes { changes, revision });
+            }
+            sleep_ms(10).await;
+        }
+    }
+
+    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
+        self.check()?;
+        if !self.leases.borrow().contains(&lease.0) {
+            return Ok(false);
+        }
+        self.writes.set(self.writes.get() + 1);
+        self.write(key, value, lease.0);
+        Ok(true)
+    }
+
+    async fn grant(&self, _ttl_ms: u64) -> Result<LeaseId, StoreError> {
+        self.check()?;
+        self.next_lease.set(self.next_lease.get() + 1);
+        self.leases.borrow_mut().insert(self.next_lease.get());
+        Ok(LeaseId(self.next_lease.get()))
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.check()?;
+        Ok(self.leases.borrow().contains(&lease.0))
+    }
+}
+
+/// What a worker does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Act {
+    /// Answers after so long.
+    Answer { after_ms: u64 },
+    /// Answers, and then once more with another identity.
+    AnswerTwice,
+    /// Answers without a length.
+    Unframed,
+    /// Answers without a length and resets the connection before the end.
+    UnframedReset,
+    /// Cuts its answer short.
+    Cut,
+    /// Closes without an answer.
+    Close,
+    /// Says that it did not run the request.
+    Shed,
+    /// Fails it.
+    Fail,
+    /// Answers a success that bears no stamp.
+    Unstamped,
+}
+
+/// A request as a worker saw it.
+#[derive(Debug, Clone)]
+pub(crate) struct Seen {
+    pub(crate) head: Head,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Stand-in worker.
+pub(crate) struct Worker {
+    pub(crate) addr: SocketAddr,
+    pub(crate) id: SmolStr,
+    pub(crate) act: Cell<Act>,
+    pub(crate) seen: RefCell<Vec<Seen>>,
+    pub(crate) cancelled: Cell<u32>,
+}
+
+impl Worker {
+    fn start(id: &str) -> Rc<Self> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let worker = Rc::new(Self {
+            addr: listener.get_ref().local_addr().unwrap(),
+            id: id.into(),
+            act: Cell::new(Act::Answer { after_ms: 0 }),
+            seen: RefCell::default(),
+            cancelled: Cell::new(0),
+        });
+        let accepting = Rc::clone(&worker);
+        runtime::detach("worker", async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let worker = Rc::clone(&accepting);
+                runtime::detach(
+                    "worker connection",
+                    async move { worker.serve(stream).await },
+                );
+            }
+        });
+        worker
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.seen.borrow().len()
+    }
+
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+        let mut conn = Conn::new(stream).unwrap();
+        loop {
+            let Ok(head) = http::read_request(&mut conn, 65_536).await else {
+                return;
+            };
+            let Ok(body) = http::read_body(&mut conn, head.framing, 1 << 30).await else {
+                return;
+            };
+            let attempt = head.field(ATTEMPT).unwrap_or_default().to_owned();
+            self.seen.borrow_mut().push(Seen { head, body });
+            if !self.act(&mut conn, &attempt).await {
+                return;
+            }
+        }
+    }
+
+    async fn act(&self, conn: &mut Conn, attempt: &str) -> bool {
+        let io = conn.io();
+        let head = |status: &str, attempt: &str| {
+            format!("HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n{STAMP}: s-{attempt}\r\n")
+        };
+        let body = format!("body of {attempt} by {}", self.id);
+        let good = format!(
+            "{}Content-Length: {}\r\n\r\n{body}",
+            head("200 OK", attempt),
+            body.len()
+        );
+        let text = match self.act.get() {
+            Act::Answer { after_ms } => {
+                if after_ms > 0 {
+                    let ended = runtime::within(after_ms, conn.fill()).await;
+                    if ended.is_some() {
+                        self.cancelled.set(self.cancelled.get() + 1);
+                        return false;
+                    }
+                }
+                good
+            }
+            Act::AnswerTwice => format!(
+                "{good}{}Content-Length: 3\r\n\r\nold",
+                head("200 OK", "another")
+            ),
+            Act::Unframed | Act::UnframedReset => format!("{}\r\n{body}", head("200 OK", attempt)),
+            Act::Cut => good[..good.len() - 4].into(),
+            Act::Close => return false,
+            Act::Shed => format!(
+                "HTTP/1.1 503 Busy\r\n{ATTEMPT}: {attempt}\r\nX-Shallotdeal-Not-Executed: 1\r\n\
+                 Content-Length: 0\r\n\r\n"
+            ),
+            Act::Fail => format!("{}Content-Length: 0\r\n\r\n", head("500 Bad", attempt)),
+            Act::Unstamped => {
+                format!("HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\nContent-Length: 2\r\n\r\nhm")
+            }
+        };
+        if write_all(&io, text.as_bytes()).await.is_err() {
+            return false;
+        }
+        if self.act.get() == Act::UnframedReset {
+            let socket = socket2::SockRef::from(io.get_ref());
+            sleep_ms(60).await;
+            socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
+            return false;
+        }
+        !matches!(self.act.get(), Act::Cut | Act::Unframed)
+    }
+}
+
+/// One VM: a daemon and its worker.
+pub(crate) struct Vm {
+    pub(crate) mesh: Rc<Mesh>,
+    pub(crate) worker: Rc<Worker>,
+    sequence: Cell<u64>,
+    running: RefCell<Vec<async_executor::Task<()>>>,
+}
+
+impl Vm {
+    pub(crate) fn report(&self, is_draining: bool) {
+        self.sequence.set(self.sequence.get() + 1);
+        let report = WorkerReport {
+            life: WorkerLife {
+                id: self.worker.id.clone(),
+                born_unix_ms: 1_000,
+            },
+            service: self.mesh.settings.service.clone(),
+            addr: self.worker.addr,
+            slots: 8,
+            is_draining,
+            cold_ms: 0,
+            sequence: self.sequence.get(),
+        };
+        self.mesh.gate.borrow_mut().report(report, now_us());
+        self.mesh.publish();
+    }
+
+    /// Ends the daemon at once.
+    pub(crate) fn kill(&self) {
+        self.running.borrow_mut().clear();
+    }
+}
+
+/// Daemons, workers and a store.
+pub(crate) struct Fleet {
+    pub(crate) catalog: Rc<TestCatalog>,
+    pub(crate) vms: Vec<Vm>,
+}
+
+/// A configuration with one route a kind of request, each to the service of its host.
+pub(crate) fn config(version: u64, timeout_ms: u64) -> String {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        format!(
+            r#"{{"Name":"{name}","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},
+            "TargetLatencyMs":500,"Priority":1,"Service":"shop","MaxAttempts":2}}"#
+        )
+    };
+    format!(
+        r#"{{"Version":"r{version}","Services":[{{"Name":"shop"}}],"Limits":{{"MaxHeaderBytes":4096,
+        "MaxBodyBytes":1000000,"HeaderTimeoutMs":500,"IdleTimeoutMs":5000}},
+        "VirtualHosts":[{{"Host":"h","Paths":[{},{}]}}]}}"#,
+        route("read", "/read/", "idempotent"),
+        route("order", "/order/", "non_idempotent"),
+    )
+}
+
+impl Fleet {
+    /// Starts VMs of the service `shop` and waits until they know each other.
+    pub(crate) async fn start(count: usize) -> Self {
+        let catalog = Rc::new(TestCatalog::default());
+        catalog.write("op/config", config(1, 1_500).as_bytes(), 0);
+        let vms: Vec<Vm> = (0..count).map(|index| start(index, &catalog)).collect();
+        let fleet = Self { catalog, vms };
+        fleet.vms.iter().for_each(|vm| vm.report(false));
+        eventually("a fleet that knows itself", || {
+            fleet
+                .vms
+                .iter()
+                .all(|vm| vm.mesh.is_ready() && vm.mesh.directory.borrow().workers("shop") == count)
+        })
+        .await;
+        fleet
+    }
+
+    /// Requests that reached workers.
+    pub(crate) fn runs(&self) -> usize {
+        self.vms.iter().map(|vm| vm.worker.count()).sum()
+    }
+
+    pub(crate) fn act(&self, act: Act) {
+        self.vms.iter().for_each(|vm| vm.worker.act.set(act));
+    }
+
+    /// Sends one request to the first daemon on a new connection.
+    pub(crate) async fn ask(&self, method: &str, path: &str, id: &str) -> Got {
+        let mut client = Client::connect(&self.vms[0]).await;
+        client.send(method, path, id, "", b"").await;
+        client.receive().await.expect("an answer")
+    }
+}
+
+fn start(index: usize, catalog: &Rc<TestCatalog>) -> Vm {
+    let worker = Worker::start(&format!("w{index}"));
+    let settings = MeshSettings {
+        name: format!("vm-{index}").into(),
+        region: Region("r".into()),
+        data_centre: DataCentre("d".into()),
+        clients_addr: free_addr(),
+        control_addr: free_addr(),
+        ready_addr: free_addr(),
+        calls_addr: free_addr(),
+        metrics_addr: free_addr(),
+        worker_addr: worker.addr,
+        service: "shop".into(),
+        store_addr: free_addr(),
+        lease_min_ms: 1_000,
+        grace_ms: 6_000,
+        allowance: AllowanceRules {
+            ratio: 0.2,
+            window_us: 10_000_000,
+        },
+        log_level: tracing::Level::INFO,
+    };
+    let mesh = Mesh::new(Parts {
+        settings,
+        protocol: Rc::new(WireProtocol) as Rc<dyn Protocol>,
+        catalog: Rc::clone(catalog) as Rc<dyn Catalog>,
+        born_unix_ms: 1,
+        seed: index as u64,
+    });
+    mesh.publish();
+    let tasks: Vec<LocalBoxFuture<'static, _>> = daemon::tasks(&mesh);
+    let running = tasks.into_iter().map(|task| {
+        runtime::spawn(async move {
+            let fault = task.await;
+            panic!("{fault}");
+        })
+    });
+    Vm {
+        mesh,
+        worker,
+        sequence: Cell::new(0),
+        running: RefCell::new(running.collect()),
+    }
+}
+
+/// An answer as a client saw it.
+#[derive(Debug)]
+pub(crate) struct Got {
+    pub(crate) head: Head,
+    pub(crate) body: String,
+}
+
+/// Client on one connection.
+pub(crate) struct Client {
+    pub(crate) conn: Conn,
+}
+
+impl Client {
+    pub(crate) async fn connect(vm: &Vm) -> Self {
+        Self {
+            conn: Conn::connect(vm.mesh.settings.clients_addr).await.unwrap(),
+        }
+    }
+
+    pub(crate) async fn send(&self, method: &str, path: &str, id: &str, fields: &str, body: &[u8]) {
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
+        let mut request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: h\r\n{ATTEMPT}: {id}\r\n\
+             X-Shallotdeal-Deadline-Remaining: 3000\r\n{fields}{length}\r\n"
+        )
+        .into_bytes();
+        request.extend_from_slice(body);
+        self.conn.write_all(&request).await.unwrap();
+    }
+
+    pub(crate) async fn receive(&mut self) -> Option<Got> {
+        let head = http::read_answer(&mut self.conn, 65_536, false)
+            .await
+            .ok()?;
+        let body = http::read_body(&mut self.conn, head.framing, 1 << 30)
+            .await
+            .ok()?;
+        Some(Got {
+            head,
+            body: String::from_utf8(body).unwrap(),
+        })
+    }
+}
