--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -27,7 +27,7 @@
 
 /// Extra time that is accepted before a request leaves its data centre, as bytes between data
 /// centres are paid for.
-const OTHER_CENTRE_US: f64 = 15_000.0;
+const OTHER_CENTRE_US: f64 = 40_000.0;
 
 /// Extra time that is accepted before a request leaves its region. Those bytes cost eight times as
 /// much, and under a common overload the other region has no more room. It stays below the cost of
--- a/src/mesh/runtime.rs
+++ b/src/mesh/runtime.rs
@@ -9,7 +9,7 @@
     async_io::Timer,
     futures::FutureExt,
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, RefCell, RefMut},
         collections::BTreeMap,
         panic::AssertUnwindSafe,
         pin::Pin,
@@ -21,9 +21,10 @@
 /// Resolution of alarms. Half the 50 ms by which callers may notice a late time-out.
 const ALARM_TICK_MS: u64 = 20;
 
+// Both are leaked: tasks that are left at the end of the thread use them while they are dropped.
 thread_local! {
-    static EXECUTOR: LocalExecutor<'static> = const { LocalExecutor::new() };
-    static ALARMS: RefCell<BTreeMap<(u64, u64), Waker>> = const { RefCell::new(BTreeMap::new()) };
+    static EXECUTOR: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    static ALARMS: &'static RefCell<BTreeMap<(u64, u64), Waker>> = Box::leak(Box::default());
     static NEXT_ALARM: Cell<u64> = const { Cell::new(0) };
 }
 
@@ -101,12 +102,7 @@
         });
         let key = (self.at_us, key.1);
         self.key = Some(key);
-        ALARMS.with_borrow_mut(|alarms| match alarms.get_mut(&key) {
-            Some(waker) => waker.clone_from(context.waker()),
-            None => {
-                alarms.insert(key, context.waker().clone());
-            }
-        });
+        alarms().insert(key, context.waker().clone());
         Poll::Pending
     }
 }
@@ -114,19 +110,24 @@
 impl Drop for Alarm {
     fn drop(&mut self) {
         if let Some(key) = self.key {
-            ALARMS.with_borrow_mut(|alarms| alarms.remove(&key));
+            alarms().remove(&key);
         }
     }
 }
 
+fn alarms() -> RefMut<'static, BTreeMap<(u64, u64), Waker>> {
+    ALARMS.with(|alarms| alarms.borrow_mut())
+}
+
 async fn tick() {
     loop {
         Timer::after(Duration::from_millis(ALARM_TICK_MS)).await;
         let now_us = now_us();
-        let due = ALARMS.with_borrow_mut(|alarms| {
+        let due = {
+            let mut alarms = alarms();
             let later = alarms.split_off(&(now_us + 1, 0));
-            std::mem::replace(alarms, later)
-        });
+            std::mem::replace(&mut *alarms, later)
+        };
         due.into_values().for_each(Waker::wake);
     }
 }
