Tell crashes and departures on all links, and quarantine requests that crash workers

Cause: a daemon told its news only on links that it had made itself, so a daemon that calls nobody told nobody; found by the new test of a request that crashes workers, which ran on a third one. Inbound links are told too. A worker that cuts a request is checked: another answer or a connection shows that it lives.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,7 +6,7 @@
             Any::Standalone(settings) => settings.place.name,
             Any::Mesh(settings) => settings.name,
         };
-        println!("{}: daemon {name} is set up correctly", self.file.display(),);
+        println!("{}: daemon {name} is set up correctly", self.file.display());
         Ok(())
     }
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -26,15 +26,14 @@
         path::{Path, PathBuf},
         rc::Rc,
         thread,
-        time::{SystemTime, UNIX_EPOCH},
     },
 };
 
 /// Interval at which the gate lets time pass.
 const GATE_TICK_MS: u64 = 20;
 
-/// Part of the grace period that is kept for the end of the process itself.
-const GRACE_RESERVE_MS: u64 = 700;
+/// Part of the grace period that is kept for the end of the process itself, on a slow VM too.
+const GRACE_RESERVE_MS: u64 = 1_000;
 
 /// Interval of the line that tells the daemon's load.
 const LOAD_INTERVAL_MS: u64 = 2_000;
@@ -56,9 +55,7 @@
 ///
 /// Fails with the task that could not be kept running.
 pub fn run(settings: MeshSettings, path: PathBuf, platform: Platform) -> Result<(), TaskError> {
-    let born_unix_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let born_unix_ms = runtime::now_unix_ms();
     let (signals, received) = async_channel::unbounded();
     watch_signals(signals).map_err(|error| TaskError::new("signals", &error))?;
     runtime::block_on(async move {
@@ -215,12 +212,13 @@
 }
 
 fn read(path: &Path) -> SmolStr {
-    std::fs::read_to_string(path)
-        .map(SmolStr::from)
-        .unwrap_or_else(|error| {
+    std::fs::read_to_string(path).map_or_else(
+        |error| {
             tracing::warn!(path = %path.display(), %error, "settings cannot be read");
             SmolStr::default()
-        })
+        },
+        SmolStr::from,
+    )
 }
 
 fn watch_signals(sender: async_channel::Sender<i32>) -> io::Result<()> {
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -189,18 +189,15 @@
             .worker
             .as_ref()
             .map(|worker| worker.service.clone());
-        let key = match known {
-            Some(key) => {
-                self.unlist(key);
-                self.members[key].renew(announcement);
-                key
-            }
-            None => {
-                let vm = announcement.vm.clone();
-                let key = self.members.insert(Member::new(announcement));
-                self.by_vm.insert(vm, key);
-                key
-            }
+        let key = if let Some(key) = known {
+            self.unlist(key);
+            self.members[key].renew(announcement);
+            key
+        } else {
+            let vm = announcement.vm.clone();
+            let key = self.members.insert(Member::new(announcement));
+            self.by_vm.insert(vm, key);
+            key
         };
         if let Some(service) = service {
             self.by_service.entry(service).or_default().push(key);
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -13,7 +13,10 @@
             routes::Route,
             runtime::{now_us, until},
         },
-        policy::admission::{Met, Verdict},
+        policy::{
+            admission::{Met, Verdict},
+            suspect::Fingerprint,
+        },
         request::{Importance, Outcome, Reason, Refusal, ServiceName},
     },
     futures::future::{Either, select},
@@ -79,6 +82,8 @@
 /// What has become of a request so far.
 #[derive(Debug)]
 struct Trail {
+    /// VM that the last send went to.
+    vm: SmolStr,
     reach: Reach,
     tried: Vec<WorkerLife>,
     sends: u32,
@@ -127,11 +132,12 @@
         };
         let out = self.outgoing(facts, Rc::clone(route), &inbound, now_us);
         let refused = self.admit(&out, now_us);
+        let mut trail = Trail::new();
         let result = match refused {
             Some(refusal) => Err(refusal),
-            None => self.forward(&out, &inbound.body).await,
+            None => self.forward(&out, &inbound.body, &mut trail).await,
         };
-        self.conclude(&out, result)
+        self.conclude(&out, &trail, result)
     }
 
     fn outgoing(
@@ -151,7 +157,7 @@
             bucket: self.rng.borrow_mut().random(),
             depth: 0,
             parent: None,
-            fingerprint: 0,
+            fingerprint: self.fingerprint(inbound),
             started_us: now_us,
             deadline_us,
             payload_head: self.payload_head(&inbound.head),
@@ -169,6 +175,11 @@
         out
     }
 
+    fn fingerprint(&self, inbound: &Inbound) -> u64 {
+        let Head { method, target, .. } = &inbound.head;
+        Fingerprint::new(&self.settings.service, method, target, &inbound.body).0
+    }
+
     /// Request of the local worker that a call belongs to. The id of a call often begins with that
     /// of its request; where it does not, the call counts as a request of its own.
     fn parent(&self, attempt_id: &str) -> Option<(SmolStr, (Importance, u8, u8))> {
@@ -198,6 +209,10 @@
     /// Refuses a caller's request that a stopping daemon may not live to answer, or that has no
     /// prospect deep in the call graph.
     fn admit(&self, out: &Outgoing, now_us: u64) -> Option<Refusal> {
+        if self.crashes.is_quarantined(out.fingerprint) {
+            let refusal = Refusal::not_run(Reason::Quarantined);
+            return Some(refusal.retry_after_ms(RETRY_AFTER_MAX_MS));
+        }
         if out.depth > 0 {
             return None;
         }
@@ -227,14 +242,12 @@
     }
 
     /// Sends the request to workers until one answers or there is no use in going on.
-    async fn forward(self: &Rc<Self>, out: &Outgoing, body: &[u8]) -> Result<Answer, Refusal> {
-        let mut trail = Trail {
-            reach: Reach::Anywhere,
-            tried: Vec::new(),
-            sends: 0,
-            turned_away: 0,
-            may_have_run: false,
-        };
+    async fn forward(
+        self: &Rc<Self>,
+        out: &Outgoing,
+        body: &[u8],
+        trail: &mut Trail,
+    ) -> Result<Answer, Refusal> {
         self.allowances
             .borrow_mut()
             .entry(out.service.clone())
@@ -254,18 +267,19 @@
             let Some(choice) = choice else {
                 return Err(trail.conclude(last));
             };
-            let sent = self.send(out, body, &choice, &mut trail).await;
+            let sent = self.send(out, body, &choice, trail).await;
+            trail.vm = choice.vm;
             trail.tried.push(choice.life);
             match sent {
                 Sent::Answer(answer, is_final) => {
-                    if is_final || !self.may_send_again(out, &trail, false) {
+                    if is_final || !self.may_send_again(out, trail, false) {
                         return Ok(answer);
                     }
                 }
                 Sent::Refused(refusal) => {
                     last = refusal;
                     let was_run = refusal.outcome == Outcome::Unknown;
-                    if !self.may_send_again(out, &trail, was_run) {
+                    if !self.may_send_again(out, trail, was_run) {
                         return Err(trail.conclude(refusal));
                     }
                 }
@@ -343,7 +357,7 @@
         trail.sends += u32::from(reply.was_sent);
         trail.turned_away += usize::from(!reply.was_sent);
         let pressure = reply.pressure.clone();
-        let sent = self.received(out, choice, picked, reply, payload, trail, sent_us);
+        let sent = self.received(out, choice, picked, &reply, payload, trail, sent_us);
         self.note_pressure(out, pressure.as_ref());
         sent
     }
@@ -357,7 +371,7 @@
         out: &Outgoing,
         choice: &Choice,
         mut picked: Picked<'_>,
-        reply: Reply,
+        reply: &Reply,
         mut payload: Vec<u8>,
         trail: &mut Trail,
         sent_us: u64,
@@ -431,28 +445,30 @@
             Some(met) if met.load_permille >= own.load_permille => met,
             _ => &own,
         };
-        match &out.parent {
-            Some(parent) => self.gate.borrow_mut().note_pressure(parent, pressure),
-            None => {
-                let met = Met {
-                    service: &pressure.service,
-                    load_permille: pressure.load_permille,
-                    calls: pressure.calls,
-                };
-                let (class, importance) = (&out.route.name, out.route.importance);
-                let mut admission = self.admission.borrow_mut();
-                admission.report(class, importance, met, now_us);
-            }
+        if let Some(parent) = &out.parent {
+            self.gate.borrow_mut().note_pressure(parent, pressure);
+            return;
         }
+        let met = Met {
+            service: &pressure.service,
+            load_permille: pressure.load_permille,
+            calls: pressure.calls,
+        };
+        let (class, importance) = (&out.route.name, out.route.importance);
+        let mut admission = self.admission.borrow_mut();
+        admission.report(class, importance, met, now_us);
     }
 
     /// Turns the result into the client's answer, and logs it.
-    fn conclude(&self, out: &Outgoing, result: Result<Answer, Refusal>) -> Answer {
-        let took_ms = now_us().saturating_sub(out.started_us) / 1_000;
+    fn conclude(&self, out: &Outgoing, trail: &Trail, result: Result<Answer, Refusal>) -> Answer {
+        let took_us = now_us().saturating_sub(out.started_us);
         if let Some(parent) = &out.parent {
             let has_failed = result.as_ref().map_or(true, |answer| answer.status >= 500);
             self.gate.borrow_mut().note_call(parent, has_failed);
         }
+        if out.depth == 0 {
+            self.latencies.record("request", took_us);
+        }
         match result {
             Ok(answer) => {
                 self.metrics.count(if answer.status < 400 {
@@ -460,20 +476,18 @@
                 } else {
                     "answer.failed"
                 });
-                if answer.status >= 500 {
-                    tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
-                        service = %out.service, status = answer.status, took_ms, depth = out.depth,
-                        "answered");
-                } else {
-                    tracing::debug!(attempt = %out.facts.attempt_id, route = %out.route.name,
-                        service = %out.service, status = answer.status, took_ms, depth = out.depth,
-                        "answered");
-                }
+                tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
+                    service = %out.service, status = answer.status, took_us, depth = out.depth,
+                    vm = %trail.vm, sends = trail.sends, turned_away = trail.turned_away,
+                    version = %self.config_version(), "answered");
                 answer
             }
             Err(refusal) => {
                 tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
-                    service = %out.service, %refusal, took_ms, depth = out.depth, "refused");
+                    service = %out.service, %refusal, took_us, depth = out.depth,
+                    vm = %trail.vm, sends = trail.sends, turned_away = trail.turned_away,
+                    remaining_us = out.deadline_us.saturating_sub(now_us()),
+                    version = %self.config_version(), "refused");
                 self.refusal_answer(&out.facts.attempt_id, refusal)
             }
         }
@@ -491,12 +505,7 @@
         self.protocol.write_refusal(&mut answer.fields, attempt_id);
         if refusal.outcome == Outcome::NotRun {
             let after_ms = refusal.retry_after_ms.unwrap_or(RETRY_AFTER_MIN_MS);
-            let after_s = f64::from(after_ms) / 1_000.0;
-            http::write_number(
-                &mut answer.fields,
-                "Retry-After",
-                format_args!("{after_s:.3}"),
-            );
+            http::write_retry_after(&mut answer.fields, after_ms);
         }
         answer
     }
@@ -524,6 +533,17 @@
 }
 
 impl Trail {
+    fn new() -> Self {
+        Self {
+            vm: SmolStr::default(),
+            reach: Reach::Anywhere,
+            tried: Vec::new(),
+            sends: 0,
+            turned_away: 0,
+            may_have_run: false,
+        }
+    }
+
     /// What the client is told, in view of all sends.
     fn conclude(&self, refusal: Refusal) -> Refusal {
         refusal.doubt(self.may_have_run)
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -185,7 +185,9 @@
     let payload_bytes: usize = payload.iter().map(|part| part.len()).sum();
     out[start..start + 4].copy_from_slice(&message_bytes.to_le_bytes());
     out[start + 4..start + 8].copy_from_slice(&(payload_bytes as u32).to_le_bytes());
-    payload.iter().for_each(|part| out.extend_from_slice(part));
+    for part in payload {
+        out.extend_from_slice(part);
+    }
 }
 
 /// Reads the next frame.
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -26,6 +26,9 @@
 /// Time by which the gate gives up before the sender does, so that its verdict arrives in time.
 const GIVE_UP_EARLY_US: u64 = 40_000;
 
+/// Advice on when to come back with a request that the worker shed, if it gives none.
+const SHED_RETRY_AFTER_MS: u32 = 100;
+
 /// Lives of workers that have left and are remembered, so that a late report does not bring one back.
 const MAX_DEPARTED: usize = 16;
 
@@ -322,6 +325,9 @@
 
 /// Runs a call on the local worker; dropping the future cancels it.
 pub async fn serve(mesh: &Rc<Mesh>, call: &Call, payload: &[u8]) -> (Reply, Vec<u8>) {
+    if mesh.crashes.is_quarantined(call.fingerprint) {
+        return mesh.refused(call, Refusal::not_run(Reason::Quarantined), false);
+    }
     let started_us = now_us();
     let deadline_us = (started_us + call.remaining_us).saturating_sub(GIVE_UP_EARLY_US);
     let ticket = mesh.gate.borrow_mut().offer(call, deadline_us, started_us);
@@ -420,9 +426,9 @@
         };
         match result {
             Ok(answer) => {
-                self.metrics
-                    .time_us("worker.time", crate::mesh::runtime::now_us() - now_us);
-                self.answered(call, slot, answer, met)
+                let took_us = crate::mesh::runtime::now_us() - now_us;
+                self.latencies.record("worker", took_us);
+                self.answered(call, slot, &answer, met)
             }
             Err(error) => {
                 slot.finish = Finish::Failed;
@@ -455,7 +461,7 @@
         self: &Rc<Self>,
         call: &Call,
         slot: &mut Slot<'_>,
-        answer: WorkerAnswer,
+        answer: &WorkerAnswer,
         met: Met,
     ) -> (Reply, Vec<u8>) {
         let facts = self.protocol.answer_facts(&answer.head);
@@ -471,6 +477,11 @@
         };
         let mut payload = Vec::with_capacity(answer.body.len() + 512);
         answer.head.write_fields(&mut payload, |_| false);
+        if !facts.is_not_run {
+            self.clear_suspect(call.fingerprint);
+        } else if answer.head.field("retry-after").is_none() {
+            http::write_retry_after(&mut payload, SHED_RETRY_AFTER_MS);
+        }
         let result = CallResult::Answer {
             status: answer.head.status,
             head_bytes: payload.len() as u32,
@@ -484,6 +495,10 @@
         tracing::info!(attempt = %call.attempt_id, route = %call.route, worker = %call.worker,
             %error, "no whole answer from worker");
         self.metrics.count("worker.broken");
+        if error.breach == Breach::Cut {
+            self.crashes.cut(call);
+            self.check_worker(&call.worker);
+        }
         if error.breach == Breach::NoConnection {
             self.worker_down(&call.worker, &error.detail);
         }
@@ -495,11 +510,12 @@
         self.refused(call, refusal, error.may_have_run)
     }
 
-    fn worker_down(self: &Rc<Self>, life: &WorkerLife, cause: &str) {
+    pub(super) fn worker_down(self: &Rc<Self>, life: &WorkerLife, cause: &str) {
         if self.gate.borrow_mut().mark_down(life, now_us()) {
             tracing::warn!(worker = %life, cause, "worker lost");
             self.metrics.count("worker.lost");
             self.pool.clear();
+            self.blame_cuts(life);
             self.publish();
         }
     }
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -129,6 +129,12 @@
     let _ = write!(out, "{name}: {value}\r\n");
 }
 
+/// Appends the advice on when to come back.
+pub fn write_retry_after(out: &mut Vec<u8>, after_ms: u32) {
+    let seconds = f64::from(after_ms) / 1_000.0;
+    write_number(out, "Retry-After", format_args!("{seconds:.3}"));
+}
+
 /// Reads the head of a request; `None` if the peer closed before its first byte.
 ///
 /// # Errors
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 //! the platform's store and follows the others and the configuration. All of it runs on one thread.
 
 pub mod conn;
+pub mod crash;
 pub mod daemon;
 pub mod directory;
 pub mod forward;
@@ -13,6 +14,7 @@
 pub mod gate;
 pub mod http;
 pub mod ingress;
+pub mod latency;
 pub mod link;
 pub mod peers;
 pub mod pool;
@@ -31,9 +33,11 @@
         policy::{admission::Admission, allowance::Allowance, gate::Gate, shed::GateRules},
         request::ServiceName,
     },
+    crash::Crashes,
     directory::{Announcement, Directory},
     frame::Message,
     gate::LocalGate,
+    latency::Latencies,
     link::{Link, Outbox},
     pool::Pool,
     protocol::{Catalog, Protocol},
@@ -46,7 +50,7 @@
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
-        rc::Rc,
+        rc::{Rc, Weak},
     },
 };
 
@@ -64,6 +68,8 @@
     pub catalog: Rc<dyn Catalog>,
     /// Counters.
     pub metrics: Metrics,
+    /// Latency histograms.
+    pub latencies: Latencies,
     /// Configuration in force.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Its document, for daemons that cannot reach the store.
@@ -74,6 +80,8 @@
     pub directory: RefCell<Directory>,
     /// Links to other daemons.
     pub links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    /// Sending sides of the links that other daemons made to this one.
+    inbound: RefCell<Vec<Weak<Outbox>>>,
     /// The local worker's gate.
     pub gate: RefCell<LocalGate>,
     /// Connections to the local worker.
@@ -82,6 +90,8 @@
     pub admission: RefCell<Admission>,
     /// Extra sends to each service.
     pub allowances: RefCell<HashMap<ServiceName, Allowance>>,
+    /// Requests that crash workers.
+    pub crashes: Crashes,
     /// The daemon's share in the store.
     pub registry: Registry,
     /// Randomness.
@@ -146,13 +156,16 @@
             protocol,
             catalog,
             metrics: Metrics::local(),
+            latencies: Latencies::default(),
             routes: RefCell::default(),
             config_document: RefCell::default(),
             splitter: RefCell::default(),
             directory: RefCell::new(directory),
             links: RefCell::default(),
+            inbound: RefCell::default(),
             admission: RefCell::default(),
             allowances: RefCell::default(),
+            crashes: Crashes::new(),
             registry: Registry::default(),
             rng: RefCell::new(rng),
             clients: Cell::new(0),
@@ -237,10 +250,24 @@
         };
         self.learn(announcement.clone(), "self");
         self.registry.wake();
-        let message = Message::Announce(announcement);
+        self.tell_all(&Message::Announce(announcement));
+    }
+
+    /// Tells all daemons that a connection exists to, whichever side made it.
+    pub fn tell_all(&self, message: &Message) {
         for link in self.links.borrow().values() {
-            link.tell(&message);
+            link.tell(message);
         }
+        self.inbound.borrow_mut().retain(|outbox| {
+            let outbox = outbox.upgrade();
+            outbox.inspect(|outbox| outbox.push(message, &[])).is_some()
+        });
+    }
+
+    /// Takes the sending side of a link that another daemon made.
+    pub fn add_inbound(&self, outbox: &Rc<Outbox>) {
+        outbox.push(&Message::Announce(self.announced.borrow().clone()), &[]);
+        self.inbound.borrow_mut().push(Rc::downgrade(outbox));
     }
 
     /// Takes what a daemon says of itself.
@@ -254,11 +281,9 @@
         let vm = announcement.vm.clone();
         let worker = announcement.worker.clone();
         if self.directory.borrow_mut().learn(announcement) {
-            match worker {
-                Some(worker) => tracing::info!(%vm, source, service = %worker.service,
-                    worker = %worker.life, slots = worker.slots, "worker available"),
-                None => tracing::info!(%vm, source, "no worker available"),
-            }
+            let service = worker.as_ref().map(|worker| worker.service.as_str());
+            let life = worker.as_ref().map(|worker| worker.life.to_string());
+            tracing::info!(%vm, source, service, worker = life, "worker of a VM changed");
         }
     }
 
@@ -282,9 +307,7 @@
         let version = table.version;
         *self.routes.borrow_mut() = Some(Rc::new(table));
         *self.config_document.borrow_mut() = document.to_vec();
-        for link in self.links.borrow().values() {
-            link.tell(&Message::Ping(version.0));
-        }
+        self.tell_all(&Message::Ping(version.0));
     }
 
     /// Takes a message that belongs to no call.
@@ -303,7 +326,8 @@
             }
             Message::Config => self.take_config(payload, "peer"),
             Message::Announce(announcement) => self.learn(announcement, "peer"),
-            Message::Deaths(_) | Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
+            Message::Deaths(deaths) => self.learn_deaths(deaths),
+            Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
                 self.metrics.count("peers.unexpected");
             }
         }
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -61,6 +61,7 @@
     };
     let io = conn.io();
     let outbox = Rc::new(Outbox::default());
+    mesh.add_inbound(&outbox);
     let calls = Calls::default();
     let reading = pin!(read(&mesh, &mut conn, &outbox, &calls, peer));
     let writing = pin!(outbox.run(&io));
--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -10,7 +10,12 @@
     derive_more::{Display, Error},
     futures::future::{Either, select},
     smol_str::{SmolStr, ToSmolStr},
-    std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+    },
 };
 
 /// Time for a connection to a worker on the same VM; several times its 1 ms, and short enough to
@@ -86,6 +91,7 @@
 pub struct Pool {
     protocol: Rc<dyn Protocol>,
     idle: RefCell<Vec<Idle>>,
+    answered_us: Cell<u64>,
 }
 
 impl Pool {
@@ -94,6 +100,7 @@
         Self {
             protocol,
             idle: RefCell::default(),
+            answered_us: Cell::new(0),
         }
     }
 
@@ -146,6 +153,7 @@
             };
             error("read answer", breach, cause.to_smolstr(), true)
         })?;
+        self.answered_us.set(now_us());
         if is_reusable {
             self.keep(conn, &answer.head);
         }
@@ -190,6 +198,23 @@
         Err(MessageError::Malformed)
     }
 
+    /// Makes a connection ahead of need; tells why there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the worker does not accept it.
+    pub async fn prepare(&self, addr: SocketAddr) -> Result<(), SmolStr> {
+        let conn = self.connect(addr).await?;
+        let until_us = now_us() + IDLE_DEFAULT_MS * 10 * IDLE_SHARE_PERCENT;
+        self.idle.borrow_mut().push(Idle { conn, until_us });
+        Ok(())
+    }
+
+    /// Time of the last whole answer.
+    pub fn answered_us(&self) -> u64 {
+        self.answered_us.get()
+    }
+
     async fn connection(&self, addr: SocketAddr) -> Result<Conn, SmolStr> {
         let now_us = now_us();
         loop {
@@ -200,6 +225,10 @@
                 return Ok(idle.conn);
             }
         }
+        self.connect(addr).await
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Conn, SmolStr> {
         match within(CONNECT_TIMEOUT_MS, Conn::connect(addr)).await {
             Some(Ok(conn)) => Ok(conn),
             Some(Err(error)) => Err(error.to_smolstr()),
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -182,6 +182,7 @@
             "gauge",
             self.directory.borrow().len() as u64,
         );
+        self.latencies.write(&mut text);
         text
     }
 }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -125,17 +125,16 @@
     let Some(own) = mesh.own_announcement() else {
         return Ok(());
     };
-    let held = match *lease {
-        Some(held) => held,
-        None => {
-            let granted = mesh
-                .catalog
-                .grant(LEASE_TTL_MS.max(mesh.settings.lease_min_ms))
-                .await?;
-            *lease = Some(granted);
-            *written = None;
-            granted
-        }
+    let held = if let Some(held) = *lease {
+        held
+    } else {
+        let granted = mesh
+            .catalog
+            .grant(LEASE_TTL_MS.max(mesh.settings.lease_min_ms))
+            .await?;
+        *lease = Some(granted);
+        *written = None;
+        granted
     };
     if written.as_ref() == Some(&own) && !mesh.is_entry_missing.replace(false) {
         if !mesh.catalog.renew(held).await? {
@@ -193,9 +192,9 @@
             revision: next,
         } => {
             *revision = Some(next);
-            changes
-                .into_iter()
-                .for_each(|change| mesh.take_change(change));
+            for change in changes {
+                mesh.take_change(change);
+            }
         }
     }
     Ok(())
--- a/src/mesh/routes.rs
+++ b/src/mesh/routes.rs
@@ -7,7 +7,7 @@
     },
     derive_more::{Display, Error},
     smol_str::SmolStr,
-    std::rc::Rc,
+    std::{cmp::Reverse, rc::Rc},
 };
 
 /// Version of a configuration; grows with each change.
@@ -120,7 +120,7 @@
             hosts.entry(host).or_default().push(Rc::new(route));
         }
         for routes in hosts.values_mut() {
-            routes.sort_by(|one, other| other.prefix.len().cmp(&one.prefix.len()));
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
         Ok(Self {
             version,
--- a/src/mesh/runtime.rs
+++ b/src/mesh/runtime.rs
@@ -14,7 +14,7 @@
         panic::AssertUnwindSafe,
         pin::Pin,
         task::{Context, Poll, Waker},
-        time::Duration,
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -62,6 +62,12 @@
     now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
 }
 
+/// Wall clock in milliseconds since the Unix epoch; it may jump.
+pub fn now_unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
 /// Waits until the present time reaches `at_us`, to the resolution of the alarms.
 pub fn until(at_us: u64) -> Alarm {
     Alarm { at_us, key: None }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -40,20 +40,20 @@
     directory
 }
 
-fn load(in_flight: u32, queued: u32, latency_us: u32) -> Option<GateLoad> {
-    Some(GateLoad {
+fn load(in_flight: u32, queued: u32, latency_us: u32) -> GateLoad {
+    GateLoad {
         in_flight,
         queued,
         limit: 10,
         latency_us,
-    })
+    }
 }
 
 /// Sends requests one after the other and reports each end; returns the requests by VM.
 fn play(
     directory: &mut Directory,
     requests: u64,
-    end: impl Fn(&Choice) -> (Ended, Option<GateLoad>),
+    end: impl Fn(&Choice) -> (Ended, GateLoad),
 ) -> BTreeMap<String, u32> {
     let mut counts = BTreeMap::new();
     for number in 0..requests {
@@ -61,7 +61,7 @@
         let choice = directory.choose("s", &[], Reach::Anywhere, now_us).unwrap();
         directory.sent(choice.key);
         let (ended, load) = end(&choice);
-        directory.ended(choice.key, ended, load, now_us + 500);
+        directory.ended(choice.key, ended, Some(load), now_us + 500);
         *counts.entry(choice.vm.to_string()).or_default() += 1;
     }
     counts
@@ -214,7 +214,7 @@
         .unwrap();
     directory.sent(choice.key);
     let ended = Ended::Answered { took_us: 5_000 };
-    directory.ended(choice.key, ended, load(10, 8, 5_000), SECOND_US);
+    directory.ended(choice.key, ended, Some(load(10, 8, 5_000)), SECOND_US);
     // 18 in hand at one worker of two with ten slots each; the other region does not count.
     assert_eq!(directory.load_permille("s", SECOND_US + 1_000), 900);
 }
@@ -227,7 +227,7 @@
         .unwrap();
     directory.sent(choice.key);
     let ended = Ended::Answered { took_us: 5_000 };
-    directory.ended(choice.key, ended, load(10, 100, 5_000), SECOND_US);
+    directory.ended(choice.key, ended, Some(load(10, 100, 5_000)), SECOND_US);
     let soon = directory
         .choose("s", &[], Reach::Anywhere, SECOND_US + 1_000)
         .unwrap();
--- a/tests/mesh/answers.rs
+++ b/tests/mesh/answers.rs
@@ -1,7 +1,7 @@
 //! Answers of workers that fail, spoil, lose or repeat them.
 
 use {
-    crate::world::{Act, Client, Fleet, run},
+    crate::world::{Act, Client, Fleet, eventually, run},
     shallotdeal::mesh::runtime::sleep_ms,
 };
 
@@ -97,3 +97,38 @@
         assert_eq!(got.body, "body of id by w0");
     });
 }
+
+#[test]
+fn a_request_that_crashed_two_workers_reaches_no_third() {
+    run(async {
+        let fleet = Fleet::start(4).await;
+        fleet.act(Act::CrashOnKiller);
+        let dead = || {
+            let vms = fleet.vms.iter();
+            vms.filter(|vm| vm.mesh.gate.borrow().worker_state().is_none())
+                .count()
+        };
+        for round in 1..=4 {
+            for number in 0..40 {
+                fleet
+                    .ask("GET", "/read/good", &format!("good-{round}-{number}"))
+                    .await;
+            }
+            fleet
+                .ask("POST", "/order/killer", &format!("killer-{round}"))
+                .await;
+            let expected = round.min(2);
+            eventually("the death of the worker", || {
+                fleet
+                    .vms
+                    .iter()
+                    .filter(|vm| vm.worker.is_dead.get())
+                    .count()
+                    == expected
+            })
+            .await;
+            eventually("the notice of it", || dead() == expected).await;
+            assert_eq!(dead(), expected, "round {round}");
+        }
+    });
+}
--- a/tests/mesh/world.rs
+++ b/tests/mesh/world.rs
@@ -205,6 +205,8 @@
     Shed,
     /// Fails it.
     Fail,
+    /// Crashes on a request to a path that says so: cuts it and closes the port.
+    CrashOnKiller,
     /// Answers a success that bears no stamp.
     Unstamped,
 }
@@ -223,6 +225,7 @@
     pub(crate) act: Cell<Act>,
     pub(crate) seen: RefCell<Vec<Seen>>,
     pub(crate) cancelled: Cell<u32>,
+    pub(crate) is_dead: Cell<bool>,
 }
 
 impl Worker {
@@ -234,11 +237,18 @@
             act: Cell::new(Act::Answer { after_ms: 0 }),
             seen: RefCell::default(),
             cancelled: Cell::new(0),
+            is_dead: Cell::new(false),
         });
         let accepting = Rc::clone(&worker);
         runtime::detach("worker", async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
+                if accepting.is_dead.get() {
+                    return;
+                }
+                let accepted = runtime::within(20, listener.accept()).await;
+                let Some(Ok((stream, _))) = accepted else {
+                    continue;
+                };
                 let worker = Rc::clone(&accepting);
                 runtime::detach(
                     "worker connection",
@@ -263,6 +273,9 @@
                 return;
             };
             let attempt = head.field(ATTEMPT).unwrap_or_default().to_owned();
+            if self.is_dead.get() {
+                return;
+            }
             self.seen.borrow_mut().push(Seen { head, body });
             if !self.act(&mut conn, &attempt).await {
                 return;
@@ -299,6 +312,11 @@
             Act::Unframed | Act::UnframedReset => format!("{}\r\n{body}", head("200 OK", attempt)),
             Act::Cut => good[..good.len() - 4].into(),
             Act::Close => return false,
+            Act::CrashOnKiller if attempt.starts_with("killer") => {
+                self.is_dead.set(true);
+                return false;
+            }
+            Act::CrashOnKiller => good,
             Act::Shed => format!(
                 "HTTP/1.1 503 Busy\r\n{ATTEMPT}: {attempt}\r\nX-Shallotdeal-Not-Executed: 1\r\n\
                  Content-Length: 0\r\n\r\n"
