Explain a request from logs, and test the client of the platform's store

shallotdeal explain ID FILE... tells the lines of a request and of the calls inside it in order, with what each daemon knew. Gates log what they refuse. The client of the store is tested against a stand-in: pages, changes, a lost history, leases that ended, refused calls and lost answers.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -39,5 +39,12 @@
             /// Print JSON.
             optional --json
         }
+        /// Tell the story of one request from the log files of several daemons.
+        cmd explain {
+            /// Identity of the request.
+            required id: String
+            /// Log files.
+            repeated files: PathBuf
+        }
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod check;
 mod daemon;
 mod dump;
+mod explain;
 
 pub use args::{Shallotdeal, ShallotdealCmd};
 
@@ -71,6 +72,9 @@
         #[error(not(source))]
         detail: String,
     },
+    /// No log line tells of a request.
+    #[display("{_0}")]
+    NoStory(crate::explain::NotFound),
     /// A part of the daemon could not be kept running.
     #[display("{_0}")]
     Task(crate::supervisor::TaskError),
@@ -93,6 +97,7 @@
             ShallotdealCmd::Check(cmd) => cmd.run(),
             ShallotdealCmd::Ask(cmd) => cmd.run(),
             ShallotdealCmd::Dump(cmd) => cmd.run(),
+            ShallotdealCmd::Explain(cmd) => cmd.run(),
         }
     }
 }
@@ -126,13 +131,19 @@
 
 /// Reads and checks a settings file.
 fn load(path: &Path) -> Result<Any, CommandError> {
-    let text = std::fs::read_to_string(path).map_err(|error| CommandError::File {
-        path: path.display().to_string().into(),
-        error,
-    })?;
+    let text = read(path)?;
     let text = text.as_str();
     if mesh::settings::is_mesh(text) {
         return Ok(Any::Mesh(Box::new(MeshSettings::try_from(text)?)));
     }
     Ok(Any::Standalone(Box::new(Settings::try_from(text)?)))
 }
+
+/// Reads a file; bytes that are no text are replaced.
+fn read(path: &Path) -> Result<String, CommandError> {
+    let bytes = std::fs::read(path).map_err(|error| CommandError::File {
+        path: path.display().to_string().into(),
+        error,
+    })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod directory;
 pub mod dump;
 pub mod entry;
+pub mod explain;
 pub mod fleet;
 #[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub, reason = "generated code")]
 #[rustfmt::skip]
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -307,11 +307,11 @@
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(out.service.clone()).or_default();
         let is_paid = allowance.extra(self.settings.allowance, out.depth, now_us);
-        self.metrics.count(if is_paid {
-            "retry.sent"
+        if is_paid {
+            self.metrics.count("retry.sent");
         } else {
-            "retry.over_ratio"
-        });
+            self.metrics.count("retry.over_ratio");
+        }
         is_paid
     }
 
@@ -471,11 +471,11 @@
         }
         match result {
             Ok(answer) => {
-                self.metrics.count(if answer.status < 400 {
-                    "answer.good"
+                if answer.status < 400 {
+                    self.metrics.count("answer.good");
                 } else {
-                    "answer.failed"
-                });
+                    self.metrics.count("answer.failed");
+                }
                 tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
                     service = %out.service, status = answer.status, took_us, depth = out.depth,
                     vm = %trail.vm, sends = trail.sends, turned_away = trail.turned_away,
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -358,8 +358,10 @@
 
 impl Mesh {
     fn refused(&self, call: &Call, refusal: Refusal, was_sent: bool) -> (Reply, Vec<u8>) {
-        tracing::debug!(attempt = %call.attempt_id, route = %call.route, %refusal, was_sent,
-            "call refused by gate");
+        let load = self.gate.borrow().load(now_us());
+        tracing::info!(attempt = %call.attempt_id, route = %call.route, %refusal, was_sent,
+            in_flight = load.in_flight, queued = load.queued, limit = load.limit,
+            remaining_us = call.remaining_us, "refused by the gate");
         self.metrics.count("gate.refused");
         (
             self.reply(CallResult::Refused(refusal), was_sent, Met::default()),
--- /dev/null
+++ b/tests/wire_store.rs
@@ -0,0 +1,145 @@
+//! The client of the platform's store against a stand-in that speaks its protocol.
+
+use {
+    async_io::Async,
+    shallotdeal::{
+        mesh::{
+            conn::Conn,
+            http,
+            protocol::{Catalog, CatalogChange, Watched},
+            runtime,
+        },
+        platform::WireStore,
+        store::{LeaseId, StoreError},
+    },
+    std::{cell::RefCell, net::TcpListener, rc::Rc},
+};
+
+/// One scripted answer: status and body, or the end of the connection.
+type Script = Vec<Option<(u16, &'static str)>>;
+
+/// Plays a script; returns the requests as `METHOD target body`.
+fn play<F: Future<Output = ()>>(script: Script, test: impl FnOnce(WireStore) -> F) -> Vec<String> {
+    let seen = Rc::new(RefCell::new(Vec::new()));
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let store = WireStore::new(listener.get_ref().local_addr().unwrap());
+    let log = Rc::clone(&seen);
+    let server = async move {
+        let mut script = script.into_iter();
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut conn = Conn::new(stream).unwrap();
+            while let Ok(head) = http::read_request(&mut conn, 65_536).await {
+                let body = http::read_body(&mut conn, head.framing, 1 << 20)
+                    .await
+                    .unwrap();
+                let body = String::from_utf8(body).unwrap();
+                log.borrow_mut()
+                    .push(format!("{} {} {body}", head.method, head.target));
+                let Some(Some((status, answer))) = script.next() else {
+                    break;
+                };
+                let length = answer.len();
+                let answer =
+                    format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{answer}");
+                conn.write_all(answer.as_bytes()).await.unwrap();
+            }
+        }
+    };
+    runtime::block_on(async {
+        let server = runtime::spawn(server);
+        test(store).await;
+        drop(server);
+    });
+    seen.take()
+}
+
+#[test]
+fn a_listing_goes_over_all_pages_and_watches_from_the_first() {
+    let script = vec![
+        Some((
+            200,
+            r#"{"items":[{"Key":"d/1","Value":"YQ==","Revision":4,"Created":1,"Lease":0},
+            {"Key":"d/2","Value":"%%","Revision":4,"Created":1,"Lease":0}],
+            "Truncated":true,"StoreRevision":7}"#,
+        )),
+        Some((
+            200,
+            r#"{"items":[{"Key":"d/3","Value":"Yg==","Revision":9}],"Truncated":false,
+            "StoreRevision":9}"#,
+        )),
+    ];
+    let seen = play(script, |store| async move {
+        let (entries, revision) = store.list("d/").await.unwrap();
+        let values: Vec<_> = entries.iter().map(|entry| entry.value.as_slice()).collect();
+        // The value that cannot be read is left out.
+        assert_eq!(values, [b"a", b"b"]);
+        assert_eq!(revision, 7);
+    });
+    assert_eq!(seen[0], "GET /shallotdeal/kv-range?Prefix=d%2F ");
+    assert_eq!(
+        seen[1],
+        "GET /shallotdeal/kv-range?Prefix=d%2F&after=d%2F2 "
+    );
+}
+
+#[test]
+fn changes_and_a_lost_history_are_told_apart() {
+    let script = vec![
+        Some((
+            200,
+            r#"{"events":[{"Key":"d/1","Value":"YQ==","Revision":8},
+            {"Key":"d/2","Revision":9,"Removed":true}],"StoreRevision":9}"#,
+        )),
+        Some((410, "{}")),
+        Some((200, "not JSON")),
+    ];
+    play(script, |store| async move {
+        let Watched::Changes { changes, revision } = store.watch("d/", 7, 100).await.unwrap()
+        else {
+            panic!("changes");
+        };
+        assert_eq!(revision, 9);
+        assert!(matches!(&changes[0], CatalogChange::Put(entry) if entry.value == b"a"));
+        assert_eq!(changes[1], CatalogChange::Removed("d/2".into()));
+        assert_eq!(store.watch("d/", 9, 100).await.unwrap(), Watched::Compacted);
+        assert!(store.watch("d/", 9, 100).await.is_err());
+    });
+}
+
+#[test]
+fn a_write_names_its_lease_and_tells_when_that_has_ended() {
+    let script = vec![
+        Some((200, r#"{"Lease":77,"TtlMs":3000}"#)),
+        Some((200, r#"{"Revision":5}"#)),
+        Some((404, "{}")),
+        Some((404, "{}")),
+    ];
+    let seen = play(script, |store| async move {
+        let lease = store.grant(3_000).await.unwrap();
+        assert_eq!(lease, LeaseId(77));
+        assert!(store.put("d/1", b"a", lease).await.unwrap());
+        assert!(!store.put("d/1", b"a", lease).await.unwrap());
+        assert!(!store.renew(lease).await.unwrap());
+    });
+    assert!(
+        seen[1].contains(r#""Puts":[{"Key":"d/1","Lease":77,"Value":"YQ=="}]"#),
+        "{}",
+        seen[1]
+    );
+    assert_eq!(seen[3], "POST /shallotdeal/kv-keep/77 ");
+}
+
+#[test]
+fn a_refused_call_had_no_effect_and_a_lost_answer_may_have() {
+    let script = vec![Some((503, "")), Some((429, "")), None];
+    play(script, |store| async move {
+        for _ in 0..2 {
+            let error = store.put("d/1", b"a", LeaseId(1)).await.unwrap_err();
+            assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+        }
+        let error = store.put("d/1", b"a", LeaseId(1)).await.unwrap_err();
+        assert!(matches!(error, StoreError::Uncertain { .. }), "{error}");
+        assert!(error.to_string().starts_with("write entry: "), "{error}");
+    });
+}
