Test daemons that the store turns away

A daemon that the store serves no longer hears of configurations and departures from its peers; one whose entry was taken stays in use while it answers.

--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -70,3 +70,49 @@
         assert_eq!(fleet.catalog.writes.get(), before);
     });
 }
+
+#[test]
+fn a_daemon_that_the_store_turns_away_hears_of_changes_from_its_peers() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        // A link from the first daemon to each other one.
+        for number in 0..60 {
+            fleet.ask("GET", "/read/x", &format!("id-{number}")).await;
+        }
+        fleet.vms[0].catalog.is_cut.set(true);
+        fleet
+            .catalog
+            .write("op/config", config(7, 1_500).as_bytes(), 0);
+        eventually("the version at the daemon that is cut off", || {
+            fleet.vms[0].mesh.config_version().0 == 7
+        })
+        .await;
+        fleet.vms[2].report(true);
+        eventually("the departure at the daemon that is cut off", || {
+            fleet.vms[0].mesh.directory.borrow().workers("shop") == 2
+        })
+        .await;
+        assert_eq!(fleet.ask("GET", "/read/x", "id").await.head.status, 200);
+    });
+}
+
+#[test]
+fn a_daemon_whose_entry_was_taken_stays_in_use_while_it_answers() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        fleet.vms[0].report(true);
+        fleet.ask("GET", "/read/x", "first").await;
+        fleet.vms[1].catalog.is_cut.set(true);
+        fleet.catalog.lapse();
+        for number in 0..20 {
+            sleep_ms(200).await;
+            let got = fleet
+                .ask("GET", "/read/x", &format!("later-{number}"))
+                .await;
+            assert_eq!(got.head.status, 200, "{number}");
+        }
+        assert_eq!(fleet.vms[1].worker.count(), 21);
+        fleet.vms[1].catalog.is_cut.set(false);
+        eventually("its entry", || fleet.catalog.keys().len() == 3).await;
+    });
+}
--- a/tests/mesh/world.rs
+++ b/tests/mesh/world.rs
@@ -186,6 +186,54 @@
     }
 }
 
+/// One VM's way to the store.
+pub(crate) struct VmCatalog {
+    store: Rc<TestCatalog>,
+    pub(crate) is_cut: Cell<bool>,
+}
+
+impl VmCatalog {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.is_cut.get() {
+            return Err(StoreError::Unavailable {
+                step: "call",
+                peer: "store".into(),
+                detail: "turned away".into(),
+            });
+        }
+        Ok(())
+    }
+}
+
+#[async_trait(?Send)]
+impl Catalog for VmCatalog {
+    async fn list(&self, prefix: &str) -> Result<(Vec<CatalogEntry>, u64), StoreError> {
+        self.check()?;
+        self.store.list(prefix).await
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched, StoreError> {
+        let watched = self.store.watch(prefix, after, wait_ms).await;
+        self.check()?;
+        watched
+    }
+
+    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
+        self.check()?;
+        self.store.put(key, value, lease).await
+    }
+
+    async fn grant(&self, ttl_ms: u64) -> Result<LeaseId, StoreError> {
+        self.check()?;
+        self.store.grant(ttl_ms).await
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.check()?;
+        self.store.renew(lease).await
+    }
+}
+
 /// What a worker does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Act {
@@ -343,6 +391,7 @@
 pub(crate) struct Vm {
     pub(crate) mesh: Rc<Mesh>,
     pub(crate) worker: Rc<Worker>,
+    pub(crate) catalog: Rc<VmCatalog>,
     sequence: Cell<u64>,
     running: RefCell<Vec<async_executor::Task<()>>>,
 }
@@ -452,10 +501,14 @@
         },
         log_level: tracing::Level::INFO,
     };
+    let catalog = Rc::new(VmCatalog {
+        store: Rc::clone(catalog),
+        is_cut: Cell::new(false),
+    });
     let mesh = Mesh::new(Parts {
         settings,
         protocol: Rc::new(WireProtocol) as Rc<dyn Protocol>,
-        catalog: Rc::clone(catalog) as Rc<dyn Catalog>,
+        catalog: Rc::clone(&catalog) as Rc<dyn Catalog>,
         born_unix_ms: 1,
         seed: index as u64,
     });
@@ -470,6 +523,7 @@
     Vm {
         mesh,
         worker,
+        catalog,
         sequence: Cell::new(0),
         running: RefCell::new(running.collect()),
     }
