Admit the first requests of a class

Cause: the edge handed out a share of the work admitted so far, which is nothing for a class whose first report has just come: zero times an unbounded factor is no number, and all its requests were refused for up to 3 s after each start. Found by a test of a daemon whose entry was taken. Without a bound every class is admitted whole now, and rates are averaged over the time since the first event. A reply counts the load without the request that it answers. Ruled out: the gate (its level was open in the log). Test: the_first_requests_of_a_class_are_admitted, failed first.

--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -370,7 +370,9 @@
     }
 
     fn reply(&self, result: CallResult, was_sent: bool, met: Met) -> Reply {
-        let load = self.gate.borrow().load(now_us());
+        let mut load = self.gate.borrow().load(now_us());
+        // The request itself still has its slot.
+        load.in_flight = load.in_flight.saturating_sub(u32::from(was_sent));
         Reply {
             result,
             was_sent,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -44,6 +44,9 @@
 /// Time after the first report in which nothing is refused, as the averages are not full.
 const WARM_UP_US: u64 = 2_000_000;
 
+/// Shortest time that a rate is averaged over.
+const MIN_SINCE_US: u64 = 100_000;
+
 /// Interval at which the shares are worked out.
 const STEP_US: u64 = 50_000;
 
@@ -56,22 +59,32 @@
 /// Weight of one report in what a class is known to cost.
 const COST_WEIGHT: f64 = 0.05;
 
-/// Events each second, averaged over a time.
+/// Events in each microsecond, averaged over a time, or over the time since the first event.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
-    per_us: f64,
+    sum: f64,
     at_us: u64,
+    first_us: Option<u64>,
 }
 
 impl Rate {
     fn add(&mut self, tau_us: f64, now_us: u64) {
-        self.per_us = self.get(tau_us, now_us) + 1.0 / tau_us;
+        self.sum = self.decayed(tau_us, now_us) + 1.0 / tau_us;
         self.at_us = now_us;
+        self.first_us.get_or_insert(now_us);
     }
 
     fn get(&self, tau_us: f64, now_us: u64) -> f64 {
+        let Some(first_us) = self.first_us else {
+            return 0.0;
+        };
+        let since_us = now_us.saturating_sub(first_us).max(MIN_SINCE_US) as f64;
+        self.decayed(tau_us, now_us) / (1.0 - (-since_us / tau_us).exp())
+    }
+
+    fn decayed(&self, tau_us: f64, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.at_us) as f64;
-        self.per_us * (-age_us / tau_us).exp()
+        self.sum * (-age_us / tau_us).exp()
     }
 }
 
@@ -237,6 +250,12 @@
         .values_mut()
         .filter(|class| class.scarce == *service)
         .collect();
+    if factor.is_infinite() {
+        for class in leading {
+            class.share = 1.0;
+        }
+        return;
+    }
     leading.sort_by(|one, other| {
         let cost = one.calls.total_cmp(&other.calls);
         one.importance.cmp(&other.importance).then(cost)
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -134,3 +134,25 @@
         Verdict::Admit
     );
 }
+
+#[test]
+fn the_first_requests_of_a_class_are_admitted() {
+    let mut admission = Admission::default();
+    let (read, scarce) = (SmolStr::from("read"), ServiceName::from("scarce"));
+    let met = Met {
+        service: &scarce,
+        load_permille: 900,
+        calls: 1,
+    };
+    // Ten a second from the start, while the service has room for them.
+    for number in 0..100_u64 {
+        let now_us = 1_000_000 + number * 100_000;
+        let draw = (number * 37 % 100) as f64 / 100.0;
+        assert_eq!(
+            admission.decide("read", draw, now_us),
+            Verdict::Admit,
+            "{number}"
+        );
+        admission.report(&read, Importance(1), met, now_us);
+    }
+}
