Remove code of the platform path that nothing calls

Mesh::prepare_link, Link::connect and Admission::share had no caller, and own_announcement was an Option that was always there. Behaviour stays; formatter, linter, the names check and the tests of the mesh, the gate, admission, the directory and the counters page pass.

--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -201,15 +201,6 @@
         Some(now_us.saturating_sub(heard_us))
     }
 
-    /// Connects, if there is no connection.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the daemon cannot be reached.
-    pub async fn connect(self: &Rc<Self>, mesh: &Rc<Mesh>) -> Result<(), LinkError> {
-        self.session(mesh).await.map(|_| ())
-    }
-
     async fn session(self: &Rc<Self>, mesh: &Rc<Mesh>) -> Result<Rc<Session>, LinkError> {
         loop {
             if let Some(session) = self.session.borrow().as_ref() {
@@ -247,9 +238,8 @@
                 pending: RefCell::default(),
                 heard_us: Cell::new(now_us()),
             });
-            if let Some(announcement) = mesh.own_announcement() {
-                session.outbox.push(&Message::Announce(announcement), &[]);
-            }
+            let own = Message::Announce(mesh.own_announcement());
+            session.outbox.push(&own, &[]);
             *self.session.borrow_mut() = Some(Rc::clone(&session));
             drop(guard);
             let work = run(
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -45,7 +45,6 @@
     rand_chacha::ChaCha8Rng,
     registry::Registry,
     routes::{ClientLimits, ConfigVersion, RouteTable, Splitter},
-    runtime::detach,
     settings::MeshSettings,
     std::{
         cell::{Cell, RefCell},
@@ -226,8 +225,8 @@
     }
 
     /// What others are to know of this daemon.
-    pub fn own_announcement(&self) -> Option<Announcement> {
-        Some(self.announced.borrow().clone())
+    pub fn own_announcement(&self) -> Announcement {
+        self.announced.borrow().clone()
     }
 
     /// Link to the daemon at an address.
@@ -266,7 +265,7 @@
 
     /// Takes the sending side of a link that another daemon made.
     pub fn add_inbound(&self, outbox: &Rc<Outbox>) {
-        outbox.push(&Message::Announce(self.announced.borrow().clone()), &[]);
+        outbox.push(&Message::Announce(self.own_announcement()), &[]);
         self.inbound.borrow_mut().push(Rc::downgrade(outbox));
     }
 
@@ -338,15 +337,4 @@
             outbox.push(&Message::ConfigWanted, &[]);
         }
     }
-
-    /// Connects to another daemon ahead of need.
-    pub fn prepare_link(self: &Rc<Self>, addr: SocketAddr) {
-        let link = self.link(addr);
-        let mesh = Rc::clone(self);
-        detach("connect", async move {
-            if let Err(error) = link.connect(&mesh).await {
-                tracing::debug!(%error, "link not prepared");
-            }
-        });
-    }
 }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -122,9 +122,7 @@
     lease: &mut Option<LeaseId>,
     written: &mut Option<Announcement>,
 ) -> Result<(), StoreError> {
-    let Some(own) = mesh.own_announcement() else {
-        return Ok(());
-    };
+    let own = mesh.own_announcement();
     let held = if let Some(held) = *lease {
         held
     } else {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -209,11 +209,6 @@
         scarce.take(load, now_us);
     }
 
-    /// Part of a class that is admitted at present.
-    pub fn share(&self, class: &str) -> f64 {
-        self.classes.get(class).map_or(1.0, |known| known.share)
-    }
-
     /// Load of each scarce service and the classes that are admitted in part, for logs.
     pub fn levels(&self) -> String {
         let loads = self
