Remember departures of workers that were not heard yet

Cause: LocalGate::leave acked a departure of a life that it did not know and forgot it.

Ruled out: a draining report that arrives first (the gate keeps the worker as draining), and reports out of sequence (ignored since before).

Now: a departure is kept by name and start; one without a start counts for the next life of that name. Tests in tests/mesh_gate.rs, three, failed first.

Left: a daemon that is killed after the ack forgets the departure.

--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -29,8 +29,8 @@
 /// Advice on when to come back with a request that the worker shed, if it gives none.
 const SHED_RETRY_AFTER_MS: u32 = 100;
 
-/// Lives of workers that have left and are remembered, so that a late report does not bring one back.
-const MAX_DEPARTED: usize = 16;
+/// Departures that are remembered, so that a late report does not bring a worker back.
+const MAX_DEPARTURES: usize = 16;
 
 /// Request that the worker is running.
 #[derive(Debug)]
@@ -78,10 +78,18 @@
     Ignored,
 }
 
+/// A worker that said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Departure {
+    worker_id: SmolStr,
+    /// Start of the life that left; `None` until a report tells it.
+    born_unix_ms: Option<u64>,
+}
+
 /// State of the gate.
 pub struct LocalGate {
     worker: Option<LocalWorker>,
-    departed: VecDeque<WorkerLife>,
+    departures: VecDeque<Departure>,
     gate: Gate,
     waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
     /// Requests at the worker, by attempt.
@@ -94,7 +102,7 @@
     pub fn new(gate: Gate) -> Self {
         Self {
             worker: None,
-            departed: VecDeque::new(),
+            departures: VecDeque::new(),
             gate,
             waiting: HashMap::default(),
             running: HashMap::default(),
@@ -117,7 +125,7 @@
 
     /// Takes a report of the local worker.
     pub fn report(&mut self, report: WorkerReport, now_us: u64) -> Change {
-        if self.departed.contains(&report.life) {
+        if self.has_left(&report.life) {
             return Change::Ignored;
         }
         let before = self.worker_state();
@@ -157,25 +165,52 @@
         }
     }
 
-    /// Takes the departure of the local worker.
+    /// Takes the departure of the local worker. It also counts for a life that has not been heard
+    /// yet, as when the daemon has just started.
     pub fn leave(&mut self, worker_id: &str, born_unix_ms: Option<u64>, now_us: u64) -> Change {
-        let Some(worker) = &mut self.worker else {
+        let known = self.worker.as_mut().filter(|worker| {
+            let life = &worker.report.life;
+            life.id == worker_id && born_unix_ms.is_none_or(|born| born == life.born_unix_ms)
+        });
+        let Some(worker) = known else {
+            self.note_departure(worker_id, born_unix_ms);
             return Change::Ignored;
         };
-        let life = &worker.report.life;
-        if life.id != worker_id || born_unix_ms.is_some_and(|born| born != life.born_unix_ms) {
-            return Change::Ignored;
-        }
         worker.report.is_draining = true;
-        let life = life.clone();
-        self.departed.push_back(life);
-        if self.departed.len() > MAX_DEPARTED {
-            self.departed.pop_front();
-        }
+        let born_unix_ms = worker.report.life.born_unix_ms;
+        self.note_departure(worker_id, Some(born_unix_ms));
         self.drain(now_us);
         Change::State
     }
 
+    fn note_departure(&mut self, worker_id: &str, born_unix_ms: Option<u64>) {
+        let departure = Departure {
+            worker_id: worker_id.into(),
+            born_unix_ms,
+        };
+        if self.departures.contains(&departure) {
+            return;
+        }
+        self.departures.push_back(departure);
+        if self.departures.len() > MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+    }
+
+    /// Tells whether a life has left. A departure that does not tell its start is bound to the first
+    /// life of that name that is heard after it.
+    fn has_left(&mut self, life: &WorkerLife) -> bool {
+        for departure in &mut self.departures {
+            if departure.worker_id == life.id {
+                let born_unix_ms = *departure.born_unix_ms.get_or_insert(life.born_unix_ms);
+                if born_unix_ms == life.born_unix_ms {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
     /// Takes no new requests, as the daemon stops.
     pub fn stop(&mut self, now_us: u64) {
         self.is_stopping = true;
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -138,7 +138,7 @@
         match change {
             Change::None => {}
             Change::Ignored => {
-                tracing::info!(worker, cause, "out of date, ignored");
+                tracing::info!(worker, cause, "unknown or out of date, changes nothing");
                 self.metrics.count("report.stale");
             }
             Change::State => {
--- a/tests/mesh_gate.rs
+++ b/tests/mesh_gate.rs
@@ -79,6 +79,38 @@
     assert_eq!(serves(&gate).as_deref(), Some("a@11"));
 }
 
+#[test]
+fn a_departure_that_comes_before_any_report_counts() {
+    // The daemon has just started again: the worker left before it said anything else.
+    let mut gate = gate();
+    assert_eq!(gate.leave("a", Some(10), NOW_US), Change::Ignored);
+    assert_eq!(gate.report(report("a", 10, 6), NOW_US), Change::Ignored);
+    assert_eq!(serves(&gate), None);
+    // The same name in a later life.
+    assert_eq!(gate.report(report("a", 11, 1), NOW_US), Change::State);
+    assert_eq!(serves(&gate).as_deref(), Some("a@11"));
+}
+
+#[test]
+fn a_departure_without_a_start_counts_for_the_next_life_of_that_name() {
+    let mut gate = gate();
+    assert_eq!(gate.leave("a", None, NOW_US), Change::Ignored);
+    assert_eq!(gate.report(report("a", 10, 6), NOW_US), Change::Ignored);
+    assert_eq!(gate.report(report("a", 10, 7), NOW_US), Change::Ignored);
+    assert_eq!(serves(&gate), None);
+    assert_eq!(gate.report(report("a", 11, 1), NOW_US), Change::State);
+}
+
+#[test]
+fn the_departure_of_a_life_to_come_outlives_that_of_the_present_one() {
+    let mut gate = gate();
+    gate.report(report("a", 10, 5), NOW_US);
+    // The next worker at this address left, and its reports were held up on their way.
+    assert_eq!(gate.leave("b", Some(20), NOW_US), Change::Ignored);
+    assert_eq!(gate.report(report("b", 20, 3), NOW_US), Change::Ignored);
+    assert_eq!(serves(&gate).as_deref(), Some("a@10"));
+}
+
 #[test]
 fn a_stopping_daemon_offers_no_worker() {
     let mut gate = gate();
