Call the next data centre before a queue grows, and forget old latencies

The 40 ms that a call may take longer to stay in its data centre are two whole runs of a 22 ms call, so a queue of two limits looked like an idle worker next door; its length was then taken for load, and requests were refused at the edge while half of the region was idle. Besides, workers stayed unused for seconds at a latency from an earlier overload below them (430 ms, 0 of 175 slots in use): without calls there is no sample that corrects it, and a sample moved the gate's mean by 1/48 however old the mean was.

Ruled out: capacity (slots idle in the same region and second), limits of the gates (at the announced slots), the store.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -16,6 +16,7 @@
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
+    smallvec::SmallVec,
     smol_str::SmolStr,
     std::net::SocketAddr,
 };
@@ -43,9 +44,20 @@
 /// Time in which the share of failures halves without results, so that a worker is tried again.
 const FAILURE_HALF_LIFE_US: f64 = 2_000_000.0;
 
-/// Weight of one reply in the mean latency seen from here.
+/// Weight of one reply in the mean latency seen from here, at least.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Time in which what is known of a worker's latency loses most of its weight: about the time in
+/// which an overload of a service below it comes or goes.
+const LATENCY_TAU_US: f64 = 1_000_000.0;
+
+/// Cost of a worker without a free slot beside the wait for one: as much as leaving the data centre,
+/// so that no call waits while the next data centre has room.
+const FULL_US: f64 = OTHER_CENTRE_US;
+
+/// Part of the limit from which that cost counts in part, as the view from here is a little old.
+const NEARLY_FULL: f64 = 0.8;
+
 /// Time without an answer to a connection after which a VM is tried again.
 const UNREACHABLE_US: u64 = 1_000_000;
 
@@ -134,6 +146,7 @@
     outstanding: u32,
     sent_since_report: u32,
     latency_us: f64,
+    latency_at_us: u64,
     failure_share: f64,
     failure_at_us: u64,
     unreachable_until_us: u64,
@@ -235,20 +248,24 @@
             count if count > MAX_COMPARED => self.rng.random_range(0..count),
             _ => 0,
         };
-        let compared = keys
+        let compared: SmallVec<[MemberKey; MAX_COMPARED]> = keys
             .iter()
             .cycle()
             .skip(first)
-            .take(keys.len().min(MAX_COMPARED));
+            .take(keys.len().min(MAX_COMPARED))
+            .copied()
+            .filter(|key| {
+                let member = &self.members[*key];
+                let is_far = reach == Reach::Region && member.announcement.region != self.region;
+                !is_far && member.is_usable(tried)
+            })
+            .collect();
+        let usual_us = self.lowest_latency_us(&compared);
         let mut best: Option<(f64, MemberKey)> = None;
-        for &key in compared {
-            let member = &self.members[key];
-            let is_far = reach == Reach::Region && member.announcement.region != self.region;
-            if is_far || !member.is_usable(tried) {
-                continue;
-            }
+        for key in compared {
             let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
-            let cost_us = member.expected_us(now_us) * noise + self.distance_us(member);
+            let member = &self.members[key];
+            let cost_us = member.expected_us(usual_us, now_us) * noise + self.distance_us(member);
             if best.is_none_or(|(best_us, _)| cost_us < best_us) {
                 best = Some((cost_us, key));
             }
@@ -264,6 +281,19 @@
         })
     }
 
+    /// Lowest latency among these workers, for those of which nothing recent is known.
+    fn lowest_latency_us(&self, keys: &[MemberKey]) -> f64 {
+        let latencies = keys.iter().map(|key| self.members[*key].known_latency_us());
+        let lowest_us = latencies
+            .filter(|us| *us > 0.0)
+            .fold(f64::INFINITY, f64::min);
+        if lowest_us.is_finite() {
+            lowest_us
+        } else {
+            0.0
+        }
+    }
+
     fn distance_us(&self, member: &Member) -> f64 {
         if member.announcement.data_centre == self.data_centre {
             0.0
@@ -351,6 +381,7 @@
             outstanding: 0,
             sent_since_report: 0,
             latency_us: 0.0,
+            latency_at_us: 0,
             failure_share: 0.0,
             failure_at_us: 0,
             unreachable_until_us: 0,
@@ -416,23 +447,51 @@
         f64::from(reported).max(outstanding)
     }
 
+    /// Latency as last seen; zero if it never was.
+    fn known_latency_us(&self) -> f64 {
+        self.latency_us.max(f64::from(self.load.latency_us))
+    }
+
+    /// Latency to expect. Without news it returns to what is usual, so that a worker that was slow is
+    /// tried again, by one call at a time; one that was never tried is tried first.
+    fn latency_us(&self, usual_us: f64, now_us: u64) -> f64 {
+        let known_us = self.known_latency_us();
+        match (known_us > 0.0, self.outstanding > 0) {
+            (true, true) => return known_us,
+            (false, true) => return usual_us,
+            (false, false) => return 0.0,
+            (true, false) => {}
+        }
+        let age_us = now_us.saturating_sub(self.latency_at_us) as f64;
+        usual_us + (known_us - usual_us) * (-age_us / LATENCY_TAU_US).exp()
+    }
+
     /// Expected time to an answer from this worker.
-    fn expected_us(&self, now_us: u64) -> f64 {
+    fn expected_us(&self, usual_us: f64, now_us: u64) -> f64 {
         let limit = self.limit();
-        let latency_us = self.latency_us.max(f64::from(self.load.latency_us));
+        let latency_us = self.latency_us(usual_us, now_us);
         let in_hand = self.in_hand(now_us);
         let waiting = (in_hand + 1.0 - limit).max(0.0);
         let busy = (in_hand / limit).min(1.0);
         // A worker near its limit is slower than one with room; a tenth breaks ties by load.
         let work_us = latency_us * (1.0 + 0.1 * busy);
         let wait_us = waiting / limit * latency_us.max(1_000.0);
-        let mut cost_us = work_us + wait_us + self.failure_share(now_us) * FAILURE_COST_US;
+        let full = ((busy - NEARLY_FULL) / (1.0 - NEARLY_FULL)).max(0.0);
+        let mut cost_us = work_us + wait_us + full * FULL_US;
+        cost_us += self.failure_share(now_us) * FAILURE_COST_US;
         if now_us < self.unreachable_until_us {
             cost_us += FAILURE_COST_US;
         }
         cost_us
     }
 
+    fn note_latency(&mut self, took_us: f64, now_us: u64) {
+        let age_us = now_us.saturating_sub(self.latency_at_us) as f64;
+        let weight = (1.0 - (-age_us / LATENCY_TAU_US).exp()).max(LATENCY_WEIGHT);
+        self.latency_us += (took_us - self.latency_us) * weight;
+        self.latency_at_us = now_us;
+    }
+
     fn ended(&mut self, ended: Ended, load: Option<GateLoad>, now_us: u64) {
         self.outstanding = self.outstanding.saturating_sub(1);
         if let Some(load) = load {
@@ -442,11 +501,7 @@
         }
         let failed = match ended {
             Ended::Answered { took_us } => {
-                let took_us = took_us as f64;
-                if self.latency_us == 0.0 {
-                    self.latency_us = took_us;
-                }
-                self.latency_us += (took_us - self.latency_us) * LATENCY_WEIGHT;
+                self.note_latency(took_us as f64, now_us);
                 self.unreachable_until_us = 0;
                 0.0
             }
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -64,9 +64,13 @@
 /// Part of the limit that a cold backend server begins with.
 const COLD_SHARE: f64 = 0.125;
 
-/// Weight of a sample in the mean latency.
+/// Weight of a sample in the mean latency, at least.
 const MEAN_WEIGHT: f64 = 1.0 / 48.0;
 
+/// Time in which the mean forgets when samples are rare: about the time in which an overload of a
+/// service below comes or goes.
+const MEAN_TAU_US: f64 = 1_000_000.0;
+
 /// Weight of a sample below the expected latency.
 const FALL_WEIGHT: f64 = 0.5;
 
@@ -77,19 +81,23 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Latency {
     mean_us: f64,
+    mean_at_us: u64,
     expected_us: f64,
 }
 
 impl Latency {
     /// Adds a sample.
-    pub fn add(&mut self, sample_us: u64) {
+    pub fn add(&mut self, sample_us: u64, now_us: u64) {
         let sample_us = sample_us as f64;
+        let gap_us = now_us.saturating_sub(self.mean_at_us) as f64;
+        self.mean_at_us = now_us;
         if self.mean_us == 0.0 {
             self.mean_us = sample_us;
             self.expected_us = sample_us;
             return;
         }
-        self.mean_us += (sample_us - self.mean_us) * MEAN_WEIGHT;
+        let weight = (1.0 - (-gap_us / MEAN_TAU_US).exp()).max(MEAN_WEIGHT);
+        self.mean_us += (sample_us - self.mean_us) * weight;
         let weight = if sample_us < self.expected_us {
             FALL_WEIGHT
         } else {
@@ -268,7 +276,8 @@
     /// Takes the end of one piece of work.
     pub fn finished(&mut self, sample: Sample, now_us: u64) {
         if sample.done {
-            self.latency.add(now_us.saturating_sub(sample.started_us));
+            let took_us = now_us.saturating_sub(sample.started_us);
+            self.latency.add(took_us, now_us);
         }
         self.epoch.add(sample, now_us);
         if self.cold.is_some() {
