--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -79,6 +79,7 @@
 
 /// Smoothed latency.
 #[derive(Debug, Clone, Copy, Default)]
+#[allow(clippy::struct_field_names, reason = "all are times")]
 pub struct Latency {
     mean_us: f64,
     mean_at_us: u64,
