Refuse requests that are lost through their calls, retry by rank

Ruled out: load (100 of 148 slots idle), more tries (the routes allow two), retries at inner services (a failure that a call caused is not retried).

Retries go by rank: each less important kind gets a half, a third, ... of the allowance. The allowance counts the window before while most requests are refused, as the users' bound does, up to twice the present one. Advice on when to come back stays within a third of the caller's time.

--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -39,6 +39,9 @@
 const RETRY_AFTER_MIN_MS: u32 = 100;
 const RETRY_AFTER_MAX_MS: u32 = 2_000;
 
+/// Part of the time left up to which callers wait as they are told; a later time is not honoured.
+const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
+
 /// Advice when no worker is known or no configuration: the time in which the platform's entries are
 /// back after an outage of the store is twice that.
 const RETRY_AFTER_NOTHING_MS: u32 = 1_000;
@@ -89,6 +92,8 @@
     sends: u32,
     turned_away: usize,
     may_have_run: bool,
+    /// Whether a call inside the last run failed for good.
+    is_lost_below: bool,
 }
 
 /// What one send gave.
@@ -219,6 +224,9 @@
         if !self.takes_requests(now_us) {
             return Some(Refusal::not_run(Reason::Draining));
         }
+        if let Some(refusal) = self.lacks_prospect(out, now_us) {
+            return Some(refusal);
+        }
         let draw = self.rng.borrow_mut().random();
         let verdict = self
             .admission
@@ -237,10 +245,26 @@
             load_permille, admitted_share, "refused at the edge");
         let jitter: f64 = self.rng.borrow_mut().random_range(0.5..1.5);
         let after_ms = f64::from(RETRY_AFTER_MIN_MS) + 800.0 * (1.0 - admitted_share) * jitter;
-        let after_ms = (after_ms as u32).min(RETRY_AFTER_MAX_MS);
+        let after_ms = (after_ms as u32).min(out.longest_retry_after_ms(now_us));
         Some(Refusal::not_run(Reason::Overload).retry_after_ms(after_ms))
     }
 
+    /// Refuses a request of a class that is lost through its calls at present.
+    fn lacks_prospect(&self, out: &Outgoing, now_us: u64) -> Option<Refusal> {
+        let draw = self.rng.borrow_mut().random();
+        let lost_in_row = self
+            .prospects
+            .borrow()
+            .refuses(&out.route.name, draw, now_us)?;
+        self.metrics.count("edge.hopeless");
+        tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name, lost_in_row,
+            "refused, as its calls fail");
+        // Spread over the later half of the time in which the caller may come back.
+        let spread: f64 = self.rng.borrow_mut().random_range(0.5..1.0);
+        let after_ms = f64::from(out.longest_retry_after_ms(now_us)) * spread;
+        Some(Refusal::not_run(Reason::Overload).retry_after_ms(after_ms as u32))
+    }
+
     /// Sends the request to workers until one answers or there is no use in going on.
     async fn forward(
         self: &Rc<Self>,
@@ -306,7 +330,11 @@
         }
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(out.service.clone()).or_default();
-        let is_paid = allowance.extra(self.settings.allowance, out.depth, now_us);
+        let table = self.routes.borrow();
+        let place = table
+            .as_ref()
+            .map_or(0, |table| table.place(out.root_importance));
+        let is_paid = allowance.extra(self.settings.allowance, place, out.depth, now_us);
         if is_paid {
             self.metrics.count("retry.sent");
         } else {
@@ -356,6 +384,7 @@
         };
         trail.sends += u32::from(reply.was_sent);
         trail.turned_away += usize::from(!reply.was_sent);
+        trail.is_lost_below = reply.met_failure;
         let pressure = reply.pressure.clone();
         let sent = self.received(out, choice, picked, &reply, payload, trail, sent_us);
         self.note_pressure(out, pressure.as_ref());
@@ -471,6 +500,11 @@
         }
         match result {
             Ok(answer) => {
+                if out.depth == 0 {
+                    let was_lost = answer.status >= 500 && trail.is_lost_below;
+                    let mut prospects = self.prospects.borrow_mut();
+                    prospects.ran(&out.route.name, was_lost, now_us());
+                }
                 if answer.status < 400 {
                     self.metrics.count("answer.good");
                 } else {
@@ -530,6 +564,18 @@
             head_bytes: self.payload_head.len() as u32,
         }
     }
+
+    /// Latest time for the caller to come back, by its own account of the time left.
+    fn longest_retry_after_ms(&self, now_us: u64) -> u32 {
+        let took_ms = now_us.saturating_sub(self.started_us) / 1_000;
+        let left_ms = self
+            .facts
+            .remaining_ms
+            .map_or(f64::from(RETRY_AFTER_MAX_MS), |ms| {
+                ms.saturating_sub(took_ms) as f64 * RETRY_AFTER_SHARE
+            });
+        (left_ms as u32).min(RETRY_AFTER_MAX_MS)
+    }
 }
 
 impl Trail {
@@ -541,6 +587,7 @@
             sends: 0,
             turned_away: 0,
             may_have_run: false,
+            is_lost_below: false,
         }
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -30,7 +30,10 @@
         collections::HashMap,
         config::Config,
         metrics::Metrics,
-        policy::{admission::Admission, allowance::Allowance, gate::Gate, shed::GateRules},
+        policy::{
+            admission::Admission, allowance::Allowance, gate::Gate, prospect::Prospects,
+            shed::GateRules,
+        },
         request::ServiceName,
     },
     crash::Crashes,
@@ -87,6 +90,8 @@
     pub pool: Pool,
     /// Admission of callers' requests.
     pub admission: RefCell<Admission>,
+    /// Classes of requests that cannot succeed at present.
+    pub prospects: RefCell<Prospects>,
     /// Extra sends to each service.
     pub allowances: RefCell<HashMap<ServiceName, Allowance>>,
     /// Requests that crash workers.
@@ -163,6 +168,7 @@
             links: RefCell::default(),
             inbound: RefCell::default(),
             admission: RefCell::default(),
+            prospects: RefCell::default(),
             allowances: RefCell::default(),
             crashes: Crashes::new(),
             registry: Registry::default(),
--- a/src/mesh/routes.rs
+++ b/src/mesh/routes.rs
@@ -100,6 +100,8 @@
     pub limits: ClientLimits,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<SmolStr, Vec<Rc<Route>>>,
+    /// Importances in use, the most important first.
+    importances: Vec<Importance>,
 }
 
 impl RouteTable {
@@ -114,18 +116,23 @@
         routes: impl IntoIterator<Item = (SmolStr, Route)>,
     ) -> Result<Self, ConfigError> {
         let mut hosts: HashMap<SmolStr, Vec<Rc<Route>>> = HashMap::default();
+        let mut importances = Vec::new();
         for (host, route) in routes {
             check(&route)?;
+            importances.push(route.importance);
             let host = SmolStr::from(host.to_ascii_lowercase());
             hosts.entry(host).or_default().push(Rc::new(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
+        importances.sort_unstable();
+        importances.dedup();
         Ok(Self {
             version,
             limits,
             hosts,
+            importances,
         })
     }
 
@@ -140,6 +147,12 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Number of importances in use that go before this one.
+    pub fn place(&self, importance: Importance) -> usize {
+        self.importances
+            .partition_point(|known| *known < importance)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -4,6 +4,9 @@
 //! of daemons then stays within the same share of all first sends, whoever can reach whom. The share
 //! is divided among the levels of a call tree, since a request that is sent again makes its calls
 //! again, and those count at the services called.
+//!
+//! The most important requests may use all of it, others a part, so that retries which will not
+//! save a cheap request are not missed by a dear one.
 
 use std::collections::VecDeque;
 
@@ -39,8 +42,8 @@
 /// Count of one service's sends in a sliding window.
 #[derive(Debug, Default)]
 pub struct Allowance {
+    /// First sends by slice, of the present window and of the one before it.
     slices: VecDeque<(u64, u32)>,
-    firsts: u64,
     extra: VecDeque<(u64, f64)>,
     calling_share: f64,
 }
@@ -54,7 +57,6 @@
             Some((last, count)) if *last == slice => *count += 1,
             _ => self.slices.push_back((slice, 1)),
         }
-        self.firsts += 1;
     }
 
     /// Takes whether a run at the service made calls of its own.
@@ -63,8 +65,9 @@
         self.calling_share += (calling - self.calling_share) * CALLS_WEIGHT;
     }
 
-    /// Tells whether one more send of a request at this depth is within the bound, and counts it.
-    pub fn extra(&mut self, rules: AllowanceRules, depth: u8, now_us: u64) -> bool {
+    /// Tells whether one more send of a request at this depth is within the bound, and counts it;
+    /// `place` is the number of importances that go before the request's.
+    pub fn extra(&mut self, rules: AllowanceRules, place: usize, depth: u8, now_us: u64) -> bool {
         self.expire(rules, now_us);
         let part = if self.calling_share <= LEAF_SHARE {
             LEAF_PART
@@ -72,9 +75,9 @@
             let deeper = (depth + 1).saturating_sub(INNER_LEVELS);
             INNER_PART * 0.5_f64.powi(i32::from(deeper))
         };
-        let ratio = rules.ratio * part;
+        let part = part / (1 + place) as f64;
         let spent: f64 = self.extra.iter().map(|(_, sends)| sends).sum();
-        if spent + 1.0 > self.firsts as f64 * ratio {
+        if spent + 1.0 > self.firsts(rules, now_us) * rules.ratio * part {
             return false;
         }
         let slice = now_us / (rules.window_us / SLICES).max(1);
@@ -85,21 +88,44 @@
         true
     }
 
+    /// First sends that count: those of the present window, or of the one before it, as when most
+    /// requests are refused since. The latter count up to twice the former, as requests that now
+    /// come to other daemons are counted there.
+    fn firsts(&self, rules: AllowanceRules, now_us: u64) -> f64 {
+        let oldest = oldest_slice(rules, now_us);
+        let (mut present, mut before) = (0.0, 0.0);
+        for (slice, count) in &self.slices {
+            let window = if *slice > oldest {
+                &mut present
+            } else {
+                &mut before
+            };
+            *window += f64::from(*count);
+        }
+        f64::max(present, before.min(2.0 * present))
+    }
+
     fn expire(&mut self, rules: AllowanceRules, now_us: u64) {
-        let oldest = (now_us / (rules.window_us / SLICES).max(1)).saturating_sub(SLICES);
-        while let Some((slice, count)) = self.slices.front() {
-            if *slice > oldest {
-                break;
-            }
-            self.firsts -= u64::from(*count);
+        let oldest = oldest_slice(rules, now_us);
+        let is_past = |slice: u64, oldest: u64| slice <= oldest;
+        while self
+            .slices
+            .front()
+            .is_some_and(|(slice, _)| is_past(*slice, oldest.saturating_sub(SLICES)))
+        {
             self.slices.pop_front();
         }
         while self
             .extra
             .front()
-            .is_some_and(|(slice, _)| *slice <= oldest)
+            .is_some_and(|(slice, _)| is_past(*slice, oldest))
         {
             self.extra.pop_front();
         }
     }
 }
+
+/// Last slice before the present window.
+fn oldest_slice(rules: AllowanceRules, now_us: u64) -> u64 {
+    (now_us / (rules.window_us / SLICES).max(1)).saturating_sub(SLICES)
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod limit;
 pub mod once;
 pub mod paths;
+pub mod prospect;
 pub mod queue;
 pub mod retry;
 pub mod shed;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -7,6 +7,9 @@
     window_us: 10_000_000,
 };
 
+/// Place of the most important requests.
+const FIRST: usize = 0;
+
 /// Sends one request each millisecond and asks for an extra send at each depth for all of them.
 fn flood(depths: &[u8], makes_calls: bool, requests: u64) -> Vec<u64> {
     let mut allowance = Allowance::default();
@@ -17,7 +20,7 @@
     for now_us in (0..requests).map(|number| 1_000_000 + number * 1_000) {
         allowance.first(RULES, now_us);
         for &depth in depths {
-            if allowance.extra(RULES, depth, now_us) {
+            if allowance.extra(RULES, FIRST, depth, now_us) {
                 extra.push(now_us);
             }
         }
@@ -29,7 +32,7 @@
 fn a_daemon_that_just_started_sends_nothing_again() {
     let mut allowance = Allowance::default();
     allowance.first(RULES, 1_000_000);
-    assert!(!allowance.extra(RULES, 0, 1_000_001));
+    assert!(!allowance.extra(RULES, FIRST, 0, 1_000_001));
 }
 
 /// Most extra sends in any window.
@@ -59,7 +62,7 @@
         allowance.first(RULES, 1_000_000 + number);
     }
     let first = (0..100)
-        .filter(|number| allowance.extra(RULES, 0, 1_100_000 + number))
+        .filter(|number| allowance.extra(RULES, FIRST, 0, 1_100_000 + number))
         .count();
     assert_eq!(first, 10);
     let later_us = 1_100_000 + RULES.window_us + RULES.window_us / 10;
@@ -67,7 +70,7 @@
         allowance.first(RULES, later_us + number);
     }
     let again = (0..100)
-        .filter(|number| allowance.extra(RULES, 0, later_us + 200 + number))
+        .filter(|number| allowance.extra(RULES, FIRST, 0, later_us + 200 + number))
         .count();
     assert_eq!(again, 10);
 }
@@ -82,3 +85,52 @@
         "{leaf} {inner} {deep}"
     );
 }
+
+#[test]
+fn what_was_sent_in_the_window_before_counts_while_requests_are_refused() {
+    let mut allowance = Allowance::default();
+    for number in 0..10_000 {
+        allowance.first(RULES, 1_000_000 + number * 1_000);
+    }
+    // A quarter of the requests since: without the window before, 250 in a whole window.
+    let mut granted = 0;
+    for number in 0..2_500 {
+        let now_us = 11_000_000 + number * 4_000;
+        allowance.first(RULES, now_us);
+        granted += u32::from(allowance.extra(RULES, FIRST, 0, now_us));
+    }
+    assert!((450..=1_000).contains(&granted), "{granted}");
+}
+
+#[test]
+fn daemons_whose_clients_move_do_not_exceed_the_ratio_together() {
+    // Half of the clients of one daemon move to another one; both try for each request.
+    let mut daemons = [Allowance::default(), Allowance::default()];
+    let mut extra = 0;
+    for number in 0..20_000_u64 {
+        let now_us = 1_000_000 + number * 1_000;
+        let second = usize::from(number >= 10_000 && number % 2 == 0);
+        daemons[second].first(RULES, now_us);
+        let granted = daemons[second].extra(RULES, FIRST, 0, now_us);
+        extra += u32::from(granted && number >= 10_000);
+    }
+    // A fifth of the 10,000 requests of a window, for all levels of the tree together.
+    assert!(extra <= 2_000, "{extra}");
+}
+
+#[test]
+fn less_important_requests_leave_a_part_to_the_others() {
+    let mut allowance = Allowance::default();
+    for number in 0..1_000 {
+        allowance.first(RULES, 1_000_000 + number);
+    }
+    let mut granted = |place| {
+        let tries = 0..1_000;
+        tries
+            .filter(|number| allowance.extra(RULES, place, 0, 1_100_000 + number))
+            .count()
+    };
+    assert_eq!(granted(2), 33);
+    assert_eq!(granted(1), 50 - 33);
+    assert_eq!(granted(0), 100 - 50);
+}
