Pass on a worker's own failure when no other worker answers

Cause, found while reading: after a worker's 5xx the request asked the allowance for another send before it knew of another worker. If there was none, or if the second one gave no answer, the client got a 502 in place of the worker's answer, and the allowance was spent on nothing.

Now: the worker is chosen first, then the allowance is asked; a failure of a worker is kept and passed on if nothing better comes, unless it says that the request has not run and a later send may have run it. Two tests in tests/mesh/answers.rs failed first (502 for 500).

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 pub mod daemon;
 pub mod directory;
+mod edge;
 pub mod forward;
 pub mod frame;
 pub mod gate;
@@ -23,6 +24,7 @@
 pub mod registry;
 pub mod routes;
 pub mod runtime;
+mod sends;
 pub mod settings;
 
 use {
--- a/tests/mesh/answers.rs
+++ b/tests/mesh/answers.rs
@@ -78,6 +78,46 @@
     });
 }
 
+#[test]
+fn a_failure_is_passed_on_when_no_other_worker_is_left() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        for number in 0..60 {
+            fleet.ask("GET", "/read/x", &format!("id-{number}")).await;
+        }
+        for (act, status) in [(Act::Fail, 500), (Act::Shed, 503)] {
+            fleet.act(act);
+            let got = fleet.ask("GET", "/read/x", "id").await;
+            assert_eq!(got.head.status, status, "{act:?}");
+        }
+        assert_eq!(fleet.vms[0].mesh.metrics.get("retry.sent"), 0);
+    });
+}
+
+#[test]
+fn a_failure_is_passed_on_when_the_second_worker_gives_no_answer() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        for number in 0..200 {
+            fleet.ask("GET", "/read/x", &format!("id-{number}")).await;
+        }
+        let mut statuses = Vec::new();
+        for (first, second) in [(Act::Fail, Act::Close), (Act::Close, Act::Fail)] {
+            fleet.vms[0].worker.act.set(first);
+            fleet.vms[1].worker.act.set(second);
+            statuses.push(fleet.ask("GET", "/read/x", "id").await.head.status);
+        }
+        assert_eq!(statuses, [500, 500]);
+        // The first worker did not run it, the second one may have.
+        for (first, second) in [(Act::Shed, Act::Close), (Act::Close, Act::Shed)] {
+            fleet.vms[0].worker.act.set(first);
+            fleet.vms[1].worker.act.set(second);
+            let got = fleet.ask("GET", "/read/x", "id").await;
+            assert!(!matches!(got.head.status, 429 | 503), "{}", got.head.status);
+        }
+    });
+}
+
 #[test]
 fn a_shed_order_is_told_not_run() {
     run(async {
