Bound log lines by kind, tell what is left out, test the three paths

Now: 600 lines a second of each kind (a kind is a place in the source; failed answers are another kind than good ones), a line each two seconds with what was left out for the rate or because nobody read. tests/logs.rs: many lines of one kind displace no other, and a reader that stalls holds nobody up (12,000 lines return while the writer hangs). tests/mesh/ explained.rs makes a refusal under overload, a lost answer and a slow worker with stand-ins, and finds each cause by `explain` and counters.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -16,12 +16,17 @@
                 Ok(daemon::run(*settings)?)
             }
             Any::Mesh(settings) => {
-                let _writer = logs::init_mesh(settings.log_level);
+                let log = logs::init_mesh(settings.log_level);
                 let platform = Platform {
                     protocol: Rc::new(WireProtocol),
                     catalog: Rc::new(WireStore::new(settings.store_addr)),
                 };
-                Ok(mesh_daemon::run(*settings, self.config.clone(), platform)?)
+                Ok(mesh_daemon::run(
+                    *settings,
+                    self.config.clone(),
+                    platform,
+                    &log.losses,
+                )?)
             }
         }
     }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        logs::LineLosses,
         mesh::{
             Mesh, Parts, ingress, peers, ports,
             protocol::{Catalog, Protocol},
@@ -35,7 +36,7 @@
 /// Part of the grace period that is kept for the end of the process itself, on a slow VM too.
 const GRACE_RESERVE_MS: u64 = 1_000;
 
-/// Interval of the line that tells the daemon's load.
+/// Interval of the lines that tell the daemon's load and lost log lines.
 const LOAD_INTERVAL_MS: u64 = 2_000;
 
 /// Interval at which the settings file is looked at.
@@ -54,7 +55,12 @@
 /// # Errors
 ///
 /// Fails with the task that could not be kept running.
-pub fn run(settings: MeshSettings, path: PathBuf, platform: Platform) -> Result<(), TaskError> {
+pub fn run(
+    settings: MeshSettings,
+    path: PathBuf,
+    platform: Platform,
+    losses: &LineLosses,
+) -> Result<(), TaskError> {
     let born_unix_ms = runtime::now_unix_ms();
     let (signals, received) = async_channel::unbounded();
     watch_signals(signals).map_err(|error| TaskError::new("signals", &error))?;
@@ -70,6 +76,7 @@
         mesh.publish();
         let mut tasks = tasks(&mesh);
         tasks.push(endless("settings", watch_settings(Rc::clone(&mesh), path)));
+        tasks.push(endless("log", report_losses(losses.clone())));
         let ended = select_all(tasks).map(|(fault, _, _)| fault);
         let stopped = stop(&mesh, received);
         futures::pin_mut!(ended, stopped);
@@ -139,6 +146,14 @@
     }
 }
 
+/// Tells at an interval how many log lines were left out.
+async fn report_losses(losses: LineLosses) {
+    loop {
+        sleep_ms(LOAD_INTERVAL_MS).await;
+        losses.report();
+    }
+}
+
 /// Logs the load of the gate and the levels at the edge at an interval.
 async fn report_load(mesh: Rc<Mesh>) {
     loop {
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -186,15 +186,23 @@
                     let mut prospects = self.prospects.borrow_mut();
                     prospects.ran(&out.route.name, was_lost, now_us());
                 }
+                // One kind of line each, so that many good answers displace no failure.
+                macro_rules! log_answer {
+                    () => {
+                        tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
+                            service = %out.service, status = answer.status, took_us,
+                            depth = out.depth, vm = %trail.vm, sends = trail.sends,
+                            turned_away = trail.turned_away, version = %self.config_version(),
+                            "answered")
+                    };
+                }
                 if answer.status < 400 {
                     self.metrics.count("answer.good");
+                    log_answer!();
                 } else {
                     self.metrics.count("answer.failed");
+                    log_answer!();
                 }
-                tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name,
-                    service = %out.service, status = answer.status, took_us, depth = out.depth,
-                    vm = %trail.vm, sends = trail.sends, turned_away = trail.turned_away,
-                    version = %self.config_version(), "answered");
                 answer
             }
             Err(refusal) => {
--- /dev/null
+++ b/tests/mesh/explained.rs
@@ -0,0 +1,100 @@
+//! The three kinds of failed request of docs/OPERATIONS.md: each is made with stand-ins, and its
+//! cause is found from logs and metrics alone.
+
+use {
+    crate::world::{Act, Client, Fleet, run},
+    shallotdeal::{explain::Story, logs::mesh_log},
+    std::{
+        io::{self, Write},
+        sync::{Arc, Mutex},
+    },
+};
+
+#[derive(Clone, Default)]
+struct Page(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Page {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Runs a test, and gives the lines that all daemons logged meanwhile.
+fn logged(test: impl Future<Output = ()>) -> String {
+    let page = Page::default();
+    let (log, subscriber) = mesh_log(tracing::Level::INFO, page.clone());
+    tracing::subscriber::with_default(subscriber, || run(test));
+    drop(log);
+    let bytes = page.0.lock().unwrap().clone();
+    String::from_utf8(bytes).unwrap()
+}
+
+fn story(id: &str, lines: &str) -> String {
+    Story::collect(id, [("all.log", lines)])
+        .unwrap()
+        .to_string()
+}
+
+fn metric(fleet: &Fleet, name: &str) -> u64 {
+    fleet.vms.iter().map(|vm| vm.mesh.metrics.get(name)).sum()
+}
+
+#[test]
+fn a_refusal_under_overload_is_explained() {
+    let lines = logged(async {
+        let fleet = Fleet::start(1).await;
+        fleet.act(Act::Answer { after_ms: 700 });
+        let mut clients = Vec::new();
+        for number in 0..80 {
+            let client = Client::connect(&fleet.vms[0]).await;
+            let id = format!("load-{number}");
+            client.send("GET", "/read/x", &id, "", b"").await;
+            clients.push(client);
+        }
+        let got = fleet.ask("GET", "/read/x", "complained").await;
+        assert!(matches!(got.head.status, 429 | 503), "{got:?}");
+        assert!(got.head.field("Retry-After").is_some(), "{got:?}");
+        assert!(metric(&fleet, "gate.refused") > 0);
+    });
+    let story = story("complained", &lines);
+    assert!(story.contains("refused by the gate"), "{story}");
+    assert!(story.contains("refusal=not-run: overload"), "{story}");
+    assert!(story.contains("limit="), "{story}");
+    assert!(story.contains("queued="), "{story}");
+}
+
+#[test]
+fn a_lost_answer_is_explained() {
+    let lines = logged(async {
+        let fleet = Fleet::start(2).await;
+        fleet.act(Act::Close);
+        let got = fleet.ask("POST", "/order/x", "complained").await;
+        assert_eq!(got.head.status, 502);
+        assert!(metric(&fleet, "worker.broken") > 0);
+    });
+    let story = story("complained", &lines);
+    assert!(story.contains("no whole answer from worker"), "{story}");
+    assert!(story.contains("connection closed"), "{story}");
+    assert!(story.contains("was_sent=true"), "{story}");
+    assert!(story.contains("refusal=unknown: broken"), "{story}");
+}
+
+#[test]
+fn a_slow_worker_is_explained() {
+    let lines = logged(async {
+        let fleet = Fleet::start(2).await;
+        fleet.act(Act::Answer { after_ms: 5_000 });
+        let got = fleet.ask("GET", "/read/x", "complained").await;
+        assert_eq!(got.head.status, 504);
+    });
+    let story = story("complained", &lines);
+    assert!(story.contains("refusal=unknown: deadline"), "{story}");
+    assert!(story.contains("vm=vm-"), "{story}");
+    assert!(story.contains("was_sent=true"), "{story}");
+    assert!(story.contains("took_us=1"), "{story}");
+}
