Run the request path on an event loop with one thread

Cause: processor time of a call was 329 us in both daemons together, of an aim of 150.

Now: tokio with one thread under the same executor (tasks, alarms and the clock stay), reads that know from a short read that nothing is left, and log lines that are written in batches each 20 ms. async-std stays where the standalone daemon uses it. The stand-in worker resets without a FIN before it, as the two halves of a socket send one when dropped.

Still above 150.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -5,11 +5,13 @@
     crate::{collections::HashMap, mesh::runtime::now_us, settings::LogSettings},
     parking_lot::Mutex,
     std::{
-        io::Write,
+        io::{self, BufWriter, Write},
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
         },
+        thread,
+        time::Duration,
     },
     tracing::{
         Event, Level, Metadata, Subscriber, callsite::Identifier, level_filters::LevelFilter,
@@ -30,6 +32,12 @@
 /// that a VM serves in the users' calm hours, so that only overload is cut.
 const MAX_LINES_PER_S: u32 = 600;
 
+/// Pause of the writing thread after each batch, so that not every line wakes it.
+const BATCH_PAUSE_MS: u64 = 20;
+
+/// Bytes of a batch that are written at a time.
+const BATCH_BYTES: usize = 64 * 1024;
+
 /// Length of the span that lines are counted in.
 const SPAN_US: u64 = 1_000_000;
 
@@ -70,7 +78,7 @@
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_WAITING_LINES)
         .lossy(true)
-        .finish(writer);
+        .finish(Batches(BufWriter::with_capacity(BATCH_BYTES, writer)));
     let losses = LineLosses {
         unwritten: writer.error_counter(),
         reported: Arc::default(),
@@ -95,6 +103,22 @@
     (log, subscriber)
 }
 
+/// Writer that collects the lines of a moment.
+struct Batches<W: Write>(BufWriter<W>);
+
+impl<W: Write> Write for Batches<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes)
+    }
+
+    /// Called whenever no line waits.
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()?;
+        thread::sleep(Duration::from_millis(BATCH_PAUSE_MS));
+        Ok(())
+    }
+}
+
 /// Lines of one kind in the present second, and those left out since they were last asked for.
 #[derive(Debug, Clone, Copy, Default)]
 struct Kind {
--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -1,12 +1,22 @@
 //! Buffered TCP connection.
 
 use {
-    async_io::Async,
+    futures::future::poll_fn,
+    socket2::SockRef,
     std::{
         cell::RefCell,
-        io::{self, Read, Write},
-        net::{SocketAddr, TcpStream},
+        io,
+        net::{Shutdown, SocketAddr},
+        pin::Pin,
         rc::Rc,
+        task::{Poll, ready},
+    },
+    tokio::{
+        io::{AsyncRead, ReadBuf},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
     },
 };
 
@@ -23,7 +33,8 @@
 /// TCP connection with the bytes read ahead of their use.
 #[derive(Debug)]
 pub struct Conn {
-    io: Rc<Async<TcpStream>>,
+    reader: OwnedReadHalf,
+    io: Rc<OwnedWriteHalf>,
     ahead: Vec<u8>,
     start: usize,
 }
@@ -34,10 +45,12 @@
     /// # Errors
     ///
     /// Fails if the socket has failed already.
-    pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
-        io.get_ref().set_nodelay(true)?;
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
         Ok(Self {
-            io: Rc::new(io),
+            reader,
+            io: Rc::new(writer),
             ahead: Vec::new(),
             start: 0,
         })
@@ -49,7 +62,7 @@
     ///
     /// Fails if the peer refuses the connection.
     pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
-        Self::new(Async::<TcpStream>::connect(addr).await?)
+        Self::new(TcpStream::connect(addr).await?)
     }
 
     /// Address of the other side.
@@ -58,7 +71,7 @@
     ///
     /// Fails if the connection has ended.
     pub fn peer_addr(&self) -> io::Result<SocketAddr> {
-        self.io.get_ref().peer_addr()
+        self.reader.peer_addr()
     }
 
     /// Bytes that were read and not yet used.
@@ -84,19 +97,24 @@
     ///
     /// Fails if the connection breaks.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        loop {
-            self.io.readable().await?;
-            match self.read_now() {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                other => return other,
-            }
-        }
+        poll_fn(|context| {
+            SCRATCH.with_borrow_mut(|scratch| {
+                let mut buffer = ReadBuf::new(scratch);
+                ready!(Pin::new(&mut self.reader).poll_read(context, &mut buffer))?;
+                keep(&mut self.ahead, &mut self.start, buffer.filled());
+                Poll::Ready(Ok(buffer.filled().len()))
+            })
+        })
+        .await
     }
 
     /// Tells whether nothing has arrived and the other side has not closed.
     pub fn is_quiet(&mut self) -> bool {
         self.ahead().is_empty()
-            && matches!(self.read_now(), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+            && SCRATCH.with_borrow_mut(|scratch| {
+                let read = self.reader.try_read(scratch);
+                matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+            })
     }
 
     /// Writes all bytes.
@@ -109,27 +127,35 @@
     }
 
     /// Socket, for a writer apart from the reader.
-    pub fn io(&self) -> Rc<Async<TcpStream>> {
+    pub fn io(&self) -> Rc<OwnedWriteHalf> {
         Rc::clone(&self.io)
     }
 
+    /// Socket of a connection that no writer holds any more.
+    pub fn into_stream(self) -> Option<TcpStream> {
+        let writer = Rc::into_inner(self.io)?;
+        // Both halves are of this connection.
+        self.reader.reunite(writer).ok()
+    }
+
     /// Ends the sending side.
     pub fn shutdown(&self) {
-        // The other side may have closed already, and nothing more is sent either way.
-        let _ = self.io.get_ref().shutdown(std::net::Shutdown::Write);
+        end_sending(&self.io);
     }
+}
 
-    fn read_now(&mut self) -> io::Result<usize> {
-        SCRATCH.with_borrow_mut(|scratch| {
-            let count = self.io.get_ref().read(scratch)?;
-            if self.start > 0 {
-                self.ahead.drain(..self.start);
-                self.start = 0;
-            }
-            self.ahead.extend_from_slice(&scratch[..count]);
-            Ok(count)
-        })
+/// Ends the sending side of a connection.
+pub fn end_sending(io: &OwnedWriteHalf) {
+    // The other side may have closed already, and nothing more is sent either way.
+    let _ = SockRef::from(io.as_ref()).shutdown(Shutdown::Write);
+}
+
+fn keep(ahead: &mut Vec<u8>, start: &mut usize, bytes: &[u8]) {
+    if *start > 0 {
+        ahead.drain(..*start);
+        *start = 0;
     }
+    ahead.extend_from_slice(bytes);
 }
 
 /// Writes all bytes to a socket.
@@ -137,9 +163,9 @@
 /// # Errors
 ///
 /// Fails if the connection breaks.
-pub async fn write_all(io: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+pub async fn write_all(io: &OwnedWriteHalf, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
-        match io.get_ref().write(bytes) {
+        match io.try_write(bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(count) => bytes = &bytes[count..],
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => io.writable().await?,
@@ -149,3 +175,14 @@
     }
     Ok(())
 }
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Fails if the address is taken or not the VM's own.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -6,23 +6,19 @@
 use {
     crate::mesh::{
         Mesh,
-        conn::{Conn, write_all},
+        conn::{self, Conn, end_sending, write_all},
         forward::{Answer, Inbound},
         http::{self, MessageError},
         routes::ClientLimits,
         runtime::{detach, now_us, sleep_ms, until, within},
     },
-    async_io::Async,
     futures::{
         StreamExt,
         future::{Either, LocalBoxFuture, select},
         stream::FuturesOrdered,
     },
-    std::{
-        io,
-        net::{SocketAddr, TcpListener, TcpStream},
-        rc::Rc,
-    },
+    std::{io, net::SocketAddr, rc::Rc},
+    tokio::net::{TcpStream, tcp::OwnedWriteHalf},
 };
 
 /// Requests of one connection handled at a time; more stay unread.
@@ -45,7 +41,7 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(addr)?;
+    let listener = conn::listen(addr)?;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -65,7 +61,7 @@
     }
 }
 
-async fn serve(mesh: &Rc<Mesh>, stream: Async<TcpStream>) {
+async fn serve(mesh: &Rc<Mesh>, stream: TcpStream) {
     let conn = match Conn::new(stream) {
         Ok(conn) => conn,
         Err(error) => {
@@ -152,7 +148,7 @@
         linger(conn).await;
     } else if let Some(reading) = reading {
         // What the client sends now crosses the close.
-        let _ = io.get_ref().shutdown(std::net::Shutdown::Write);
+        end_sending(&io);
         within(LINGER_MS, reading).await;
     }
 }
@@ -217,7 +213,7 @@
 }
 
 async fn write_answer(
-    io: &Async<TcpStream>,
+    io: &OwnedWriteHalf,
     answer: &Answer,
     is_head: bool,
     closes: bool,
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -22,6 +22,7 @@
         pin::pin,
         rc::{Rc, Weak},
     },
+    tokio::net::tcp::OwnedWriteHalf,
 };
 
 /// Time for a connection to another daemon: several times the 24 ms between regions, with room for
@@ -98,7 +99,7 @@
     }
 
     /// Writes what is queued until the connection breaks or the outbox is closed.
-    pub async fn run(&self, io: &async_io::Async<std::net::TcpStream>) -> std::io::Result<()> {
+    pub async fn run(&self, io: &OwnedWriteHalf) -> std::io::Result<()> {
         loop {
             let bytes = std::mem::take(&mut *self.bytes.borrow_mut());
             if !bytes.is_empty() {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -5,7 +5,7 @@
         collections::HashMap,
         mesh::{
             Mesh,
-            conn::Conn,
+            conn::{self, Conn},
             frame::{self, Call, CallNumber, Message},
             gate,
             link::Outbox,
@@ -13,15 +13,9 @@
         },
     },
     async_executor::Task,
-    async_io::Async,
     futures::future::select,
-    std::{
-        cell::RefCell,
-        io,
-        net::{SocketAddr, TcpListener, TcpStream},
-        pin::pin,
-        rc::Rc,
-    },
+    std::{cell::RefCell, io, net::SocketAddr, pin::pin, rc::Rc},
+    tokio::net::TcpStream,
 };
 
 /// Wait after a connection could not be accepted, as when descriptors run out.
@@ -35,7 +29,7 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(addr)?;
+    let listener = conn::listen(addr)?;
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -51,7 +45,7 @@
     }
 }
 
-async fn serve(mesh: Rc<Mesh>, stream: Async<TcpStream>, peer: SocketAddr) {
+async fn serve(mesh: Rc<Mesh>, stream: TcpStream, peer: SocketAddr) {
     let mut conn = match Conn::new(stream) {
         Ok(conn) => conn,
         Err(error) => {
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -3,19 +3,14 @@
 use {
     crate::mesh::{
         Mesh,
-        conn::Conn,
+        conn::{self, Conn},
         gate::Change,
         http::{self, Head},
         protocol::ControlCall,
         runtime::{detach, now_us, sleep_ms, within},
     },
-    async_io::Async,
-    std::{
-        fmt::Write,
-        io,
-        net::{SocketAddr, TcpListener, TcpStream},
-        rc::Rc,
-    },
+    std::{fmt::Write, io, net::SocketAddr, rc::Rc},
+    tokio::net::TcpStream,
 };
 
 /// Largest head on these ports.
@@ -39,7 +34,7 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(addr)?;
+    let listener = conn::listen(addr)?;
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -58,7 +53,7 @@
     }
 }
 
-async fn serve(mesh: &Rc<Mesh>, stream: Async<TcpStream>) -> io::Result<()> {
+async fn serve(mesh: &Rc<Mesh>, stream: TcpStream) -> io::Result<()> {
     let mut conn = Conn::new(stream)?;
     loop {
         let reading = async {
--- a/src/mesh/runtime.rs
+++ b/src/mesh/runtime.rs
@@ -1,12 +1,12 @@
 //! The daemon's one thread: its executor, its alarms and its clock.
 //!
-//! `async_std::task` starts a second thread that competes for the reactor, which costs two thread
-//! switches an event on a VM with less than one core. The request path therefore uses the executor
-//! and the reactor that async-std is built on.
+//! `async_std::task` and `async-io` keep a second thread that takes part in waiting for events, which
+//! costs thread switches at each event on a VM with less than one core: half of all processor time on
+//! the users' bench (docs/design/platform.md). The request path therefore runs an executor of its own
+//! on tokio's event loop, which has one thread.
 
 use {
     async_executor::{LocalExecutor, Task},
-    async_io::Timer,
     futures::FutureExt,
     std::{
         cell::{Cell, RefCell, RefMut},
@@ -31,7 +31,11 @@
 /// Runs a future and all spawned tasks on the present thread until the future ends.
 pub fn block_on<T>(main: impl Future<Output = T>) -> T {
     EXECUTOR.with(|executor| {
-        async_io::block_on(executor.run(async {
+        let reactor = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("the kernel gives an event queue");
+        reactor.block_on(executor.run(async {
             let ticker = executor.spawn(tick());
             let ended = main.await;
             drop(ticker);
@@ -127,7 +131,7 @@
 
 async fn tick() {
     loop {
-        Timer::after(Duration::from_millis(ALARM_TICK_MS)).await;
+        tokio::time::sleep(Duration::from_millis(ALARM_TICK_MS)).await;
         let now_us = now_us();
         let due = {
             let mut alarms = alarms();
--- a/tests/mesh/world.rs
+++ b/tests/mesh/world.rs
@@ -1,13 +1,12 @@
 //! Stand-ins, and a fleet of daemons among them.
 
 use {
-    async_io::Async,
     async_trait::async_trait,
     futures::future::LocalBoxFuture,
     shallotdeal::{
         mesh::{
             Mesh, Parts,
-            conn::{Conn, write_all},
+            conn::{self, Conn, write_all},
             daemon,
             frame::WorkerLife,
             http::{self, Head},
@@ -24,7 +23,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{SocketAddr, TcpListener},
         rc::Rc,
     },
 };
@@ -278,9 +277,9 @@
 
 impl Worker {
     fn start(id: &str) -> Rc<Self> {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let listener = conn::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let worker = Rc::new(Self {
-            addr: listener.get_ref().local_addr().unwrap(),
+            addr: listener.local_addr().unwrap(),
             id: id.into(),
             act: Cell::new(Act::Answer { after_ms: 0 }),
             seen: RefCell::default(),
@@ -311,7 +310,7 @@
         self.seen.borrow().len()
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+    async fn serve(self: Rc<Self>, stream: tokio::net::TcpStream) {
         let mut conn = Conn::new(stream).unwrap();
         loop {
             let Ok(head) = http::read_request(&mut conn, 65_536).await else {
@@ -326,9 +325,14 @@
             }
             self.seen.borrow_mut().push(Seen { head, body });
             if !self.act(&mut conn, &attempt).await {
-                return;
+                break;
             }
         }
+        if self.act.get() == Act::UnframedReset {
+            sleep_ms(60).await;
+            let stream = conn.into_stream().unwrap();
+            stream.set_zero_linger().unwrap();
+        }
     }
 
     async fn act(&self, conn: &mut Conn, attempt: &str) -> bool {
@@ -377,13 +381,10 @@
         if write_all(&io, text.as_bytes()).await.is_err() {
             return false;
         }
-        if self.act.get() == Act::UnframedReset {
-            let socket = socket2::SockRef::from(io.get_ref());
-            sleep_ms(60).await;
-            socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
-            return false;
-        }
-        !matches!(self.act.get(), Act::Cut | Act::Unframed)
+        !matches!(
+            self.act.get(),
+            Act::Cut | Act::Unframed | Act::UnframedReset
+        )
     }
 }
 
--- a/tests/wire_store.rs
+++ b/tests/wire_store.rs
@@ -1,10 +1,9 @@
 //! The client of the platform's store against a stand-in that speaks its protocol.
 
 use {
-    async_io::Async,
     shallotdeal::{
         mesh::{
-            conn::Conn,
+            conn::{self, Conn},
             http,
             protocol::{Catalog, CatalogChange, Watched},
             runtime,
@@ -12,7 +11,8 @@
         platform::WireStore,
         store::{LeaseId, StoreError},
     },
-    std::{cell::RefCell, net::TcpListener, rc::Rc},
+    std::{cell::RefCell, rc::Rc},
+    tokio::net::TcpListener,
 };
 
 /// One scripted answer: status and body, or the end of the connection.
@@ -21,10 +21,8 @@
 /// Plays a script; returns the requests as `METHOD target body`.
 fn play<F: Future<Output = ()>>(script: Script, test: impl FnOnce(WireStore) -> F) -> Vec<String> {
     let seen = Rc::new(RefCell::new(Vec::new()));
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let store = WireStore::new(listener.get_ref().local_addr().unwrap());
     let log = Rc::clone(&seen);
-    let server = async move {
+    let serve = async move |listener: TcpListener| {
         let mut script = script.into_iter();
         loop {
             let (stream, _) = listener.accept().await.unwrap();
@@ -47,7 +45,9 @@
         }
     };
     runtime::block_on(async {
-        let server = runtime::spawn(server);
+        let listener = conn::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let store = WireStore::new(listener.local_addr().unwrap());
+        let server = runtime::spawn(async move { serve(listener).await });
         test(store).await;
         drop(server);
     });
