Give a worker that says it is warm its whole limit

Cause: a gate began each life of its worker at an eighth of the announced slots, also when only its daemon had started again, or when the worker had been warm for long before the first request, though reports tell for how long a worker stays cold.

Now: a report that tells no cold time gives the whole limit; a cold worker still begins at an eighth. Two tests in tests/mesh_gate.rs failed first. Counters that are sent nowhere are no longer formatted.

Kept for the calm hours after restarts.

--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -154,6 +154,9 @@
         }
         if let Some(worker) = &self.worker {
             self.gate.announce(worker.report.slots, now_us);
+            if worker.report.cold_ms == 0 {
+                self.gate.warm(now_us);
+            }
             let is_draining = worker.report.is_draining || self.is_stopping;
             self.gate.set_draining(is_draining, now_us, &mut actions);
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,9 +5,7 @@
 
 use {
     crate::{collections::HashMap, settings::MetricsSettings},
-    cadence::{
-        Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
-    },
+    cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink},
     parking_lot::Mutex,
     std::{collections::BTreeMap, io, net::UdpSocket},
 };
@@ -15,22 +13,19 @@
 /// Datagrams that may wait for the sink.
 const QUEUE_DATAGRAMS: usize = 4_096;
 
-/// Prefix where none is set.
-const DEFAULT_PREFIX: &str = "shallotdeal";
-
 /// Counters of one process.
 #[derive(Debug)]
 pub struct Metrics {
-    client: StatsdClient,
+    /// Sender to a sink, if there is one.
+    client: Option<StatsdClient>,
     counts: Mutex<HashMap<&'static str, u64>>,
 }
 
 impl Metrics {
     /// Counters that are only kept for the dump.
     pub fn local() -> Self {
-        let client = StatsdClient::from_sink(DEFAULT_PREFIX, NopMetricSink);
         Self {
-            client,
+            client: None,
             counts: Mutex::default(),
         }
     }
@@ -53,7 +48,7 @@
         let sink = QueuingMetricSink::with_capacity(udp, QUEUE_DATAGRAMS);
         let client = StatsdClient::from_sink(&settings.prefix, sink);
         Ok(Self {
-            client,
+            client: Some(client),
             counts: Mutex::default(),
         })
     }
@@ -66,18 +61,24 @@
     /// Counts several events.
     pub fn add(&self, name: &'static str, events: u64) {
         *self.counts.lock().entry(name).or_default() += events;
-        // A sink that refuses a datagram must not disturb the request that is counted.
-        let _ = self.client.count(name, events);
+        if let Some(client) = &self.client {
+            // A sink that refuses a datagram must not disturb the request that is counted.
+            let _ = client.count(name, events);
+        }
     }
 
     /// Reports the present value of a quantity.
     pub fn gauge(&self, name: &'static str, value: u64) {
-        let _ = self.client.gauge(name, value);
+        if let Some(client) = &self.client {
+            let _ = client.gauge(name, value);
+        }
     }
 
     /// Reports how long something took.
     pub fn time_us(&self, name: &'static str, took_us: u64) {
-        let _ = self.client.time(name, took_us / 1_000);
+        if let Some(client) = &self.client {
+            let _ = client.time(name, took_us / 1_000);
+        }
     }
 
     /// Present count of one kind of event.
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -91,6 +91,11 @@
         self.limit.announce(slots, now_us);
     }
 
+    /// The backend server says that it is warm.
+    pub fn warm(&mut self, now_us: u64) {
+        self.limit.warm(now_us);
+    }
+
     /// The backend server was replaced: nothing is in flight any more, what waits is refused, and
     /// the new one is cold.
     pub fn reset(&mut self, now_us: u64, actions: &mut Vec<Action>) {
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -243,6 +243,13 @@
         }
     }
 
+    /// Takes it that the backend server is warm, by its own account.
+    pub fn warm(&mut self, now_us: u64) {
+        if self.cold.take().is_some() {
+            self.rest(self.wait, now_us);
+        }
+    }
+
     /// Begins anew for another incarnation of the backend server.
     pub fn restart(&mut self, now_us: u64) {
         let announced = self.announced;
@@ -282,7 +289,7 @@
         }
         self.epoch.add(sample, now_us);
         if self.cold.is_some() {
-            self.warm(sample, now_us);
+            self.warm_up(sample, now_us);
             return;
         }
         if self.epoch.samples() >= self.epoch_samples() {
@@ -293,7 +300,7 @@
     }
 
     /// Raises the limit of a cold backend server with each answer.
-    fn warm(&mut self, sample: Sample, now_us: u64) {
+    fn warm_up(&mut self, sample: Sample, now_us: u64) {
         let cold = self.cold.unwrap_or(self.base) + f64::from(u8::from(sample.done));
         self.cold = Some(cold);
         if self.epoch.done >= COLD_SAMPLES {
--- a/tests/mesh_gate.rs
+++ b/tests/mesh_gate.rs
@@ -111,6 +111,25 @@
     assert_eq!(serves(&gate).as_deref(), Some("a@10"));
 }
 
+#[test]
+fn a_worker_that_says_that_it_is_warm_gets_its_whole_limit() {
+    // As when the daemon beside a worker at work has started again.
+    let mut gate = gate();
+    gate.report(report("a", 10, 5), NOW_US);
+    assert_eq!(gate.load(NOW_US).limit, 8);
+}
+
+#[test]
+fn a_cold_worker_gets_its_limit_when_it_says_that_it_is_warm() {
+    let mut gate = gate();
+    let mut cold = report("a", 10, 1);
+    cold.cold_ms = 2_500;
+    gate.report(cold, NOW_US);
+    assert_eq!(gate.load(NOW_US).limit, 1);
+    gate.report(report("a", 10, 2), NOW_US + 3_000_000);
+    assert_eq!(gate.load(NOW_US + 3_000_000).limit, 8);
+}
+
 #[test]
 fn a_stopping_daemon_offers_no_worker() {
     let mut gate = gate();
