--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -42,7 +42,7 @@
 const GROWTH_PERMILLE: f64 = 960.0;
 
 /// Time after the first report in which nothing is refused, as the averages are not full.
-const WARM_UP_US: u64 = 2_000_000;
+const WARM_UP_US: u64 = 600_000;
 
 /// Shortest time that a rate is averaged over.
 const MIN_SINCE_US: u64 = 100_000;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -156,3 +156,36 @@
         admission.report(&read, Importance(1), met, now_us);
     }
 }
+
+#[test]
+fn a_daemon_that_starts_into_overload_refuses_within_a_second() {
+    // As when all daemons were killed: twice what the scarce service can take, from the start.
+    let mut admission = Admission::default();
+    let (read, scarce) = (SmolStr::from("read"), ServiceName::from("scarce"));
+    let mut recent = std::collections::VecDeque::from(vec![0.0; 30]);
+    let mut admitted = 0.0;
+    for step in 0..200_u64 {
+        let now_us = 1_000_000 + step * 10_000;
+        let load: f64 = recent.iter().sum::<f64>() / (1_500.0 * 0.3);
+        let mut work = 0.0;
+        for number in 0..3 {
+            let draw = ((step * 37 + number * 11) % 100) as f64 / 100.0;
+            if admission.decide("read", draw, now_us) == Verdict::Admit {
+                work += 10.0;
+                let met = Met {
+                    service: &scarce,
+                    load_permille: (load * 1_000.0) as u32,
+                    calls: 10,
+                };
+                admission.report(&read, Importance(1), met, now_us);
+            }
+        }
+        if step >= 100 {
+            admitted += work;
+        }
+        recent.pop_front();
+        recent.push_back(work);
+    }
+    // Over the second second; the service can take 1,500.
+    assert!((900.0..1_950.0).contains(&admitted), "{admitted}");
+}
