Bind the next daemon of a VM to departures that were acknowledged

Now: the daemon's entry in the store and what it tells its peers name the last four lives that left; the next daemon of the VM takes them over from the entry when it reads the listing, before or after it hears reports. Test: a_departure_binds_the_next_daemon_of_the_vm (it needs the new field, so it could not fail before). What is lost between the acknowledgement and the write of the entry, a few milliseconds, is not covered.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -92,6 +92,10 @@
     pub region: Region,
     /// Worker that takes requests, if there is one.
     pub worker: Option<WorkerState>,
+    /// Lives of workers whose departure the daemon has acknowledged of late. The acknowledgement
+    /// binds the next daemon of the VM too, which reads it here.
+    #[serde(default)]
+    pub left: Vec<WorkerLife>,
 }
 
 impl Announcement {
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -32,6 +32,9 @@
 /// Departures that are remembered, so that a late report does not bring a worker back.
 const MAX_DEPARTURES: usize = 16;
 
+/// Departures that are published for the next daemon of the VM.
+const MAX_PUBLISHED: usize = 4;
+
 /// Request that the worker is running.
 #[derive(Debug)]
 pub struct Running {
@@ -186,6 +189,17 @@
         Change::State
     }
 
+    /// Lives that have left, the latest ones.
+    pub fn departed(&self) -> Vec<WorkerLife> {
+        let lives = self.departures.iter().rev().filter_map(|departure| {
+            departure.born_unix_ms.map(|born_unix_ms| WorkerLife {
+                id: departure.worker_id.clone(),
+                born_unix_ms,
+            })
+        });
+        lives.take(MAX_PUBLISHED).collect()
+    }
+
     fn note_departure(&mut self, worker_id: &str, born_unix_ms: Option<u64>) {
         let departure = Departure {
             worker_id: worker_id.into(),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -50,6 +50,7 @@
     rand_chacha::ChaCha8Rng,
     registry::Registry,
     routes::{ClientLimits, ConfigVersion, RouteTable, Splitter},
+    runtime::now_us,
     settings::MeshSettings,
     std::{
         cell::{Cell, RefCell},
@@ -154,6 +155,7 @@
             data_centre: settings.data_centre.clone(),
             region: settings.region.clone(),
             worker: None,
+            left: Vec::new(),
         };
         Rc::new(Self {
             gate: RefCell::new(LocalGate::new(Gate::new(rules, rng.random()))),
@@ -244,14 +246,19 @@
     }
 
     /// Tells the others and the store of a change of the local worker.
-    pub fn publish(self: &Rc<Self>) {
-        let worker = self.gate.borrow().worker_state();
+    pub fn publish(&self) {
+        let (worker, left) = {
+            let gate = self.gate.borrow();
+            (gate.worker_state(), gate.departed())
+        };
         let announcement = {
             let mut announced = self.announced.borrow_mut();
-            if announced.worker == worker && announced.sequence > 0 {
+            let is_known = announced.worker == worker && announced.left == left;
+            if is_known && announced.sequence > 0 {
                 return;
             }
             announced.worker = worker;
+            announced.left = left;
             announced.sequence += 1;
             announced.clone()
         };
@@ -282,7 +289,7 @@
         if announcement.vm == self.settings.name
             && announcement.daemon_born_unix_ms != self.born_unix_ms
         {
-            // An entry of this VM's previous daemon.
+            self.succeed(&announcement);
             return;
         }
         let vm = announcement.vm.clone();
@@ -294,6 +301,18 @@
         }
     }
 
+    /// Takes over the departures that this VM's previous daemon has acknowledged.
+    fn succeed(&self, previous: &Announcement) {
+        for life in previous.left.iter().rev() {
+            let mut gate = self.gate.borrow_mut();
+            let change = gate.leave(&life.id, Some(life.born_unix_ms), now_us());
+            tracing::info!(worker = %life, ?change, "departure known from the daemon before");
+        }
+        if !previous.left.is_empty() {
+            self.publish();
+        }
+    }
+
     /// Takes a configuration document; one that is older or malformed changes nothing.
     pub fn take_config(self: &Rc<Self>, document: &[u8], source: &'static str) {
         let table = match self.protocol.decode_config(document) {
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -118,6 +118,8 @@
                     .borrow_mut()
                     .leave(&worker_id, born_unix_ms, now_us());
                 self.changed(change, &worker_id, "departure");
+                // One of a life that was not heard yet is published as well.
+                self.publish();
                 (200, JSON, "{}".into())
             }
             Ok(ControlCall::Unknown) => (404, TEXT, String::new()),
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -103,6 +103,7 @@
             service: "s".into(),
             slots: SLOTS,
         }),
+        left: Vec::new(),
     }
 }
 
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -29,6 +29,7 @@
             service: "s".into(),
             slots: 10,
         }),
+        left: Vec::new(),
     }
 }
 
--- a/tests/mesh/planned.rs
+++ b/tests/mesh/planned.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::world::{Act, Client, Fleet, config, eventually, run},
-    shallotdeal::mesh::runtime::{now_us, sleep_ms, spawn},
+    shallotdeal::mesh::{
+        directory::Announcement,
+        frame::WorkerLife,
+        runtime::{now_us, sleep_ms, spawn},
+    },
     std::rc::Rc,
 };
 
@@ -94,3 +98,40 @@
         assert_eq!(fleet.runs(), 0);
     });
 }
+
+#[test]
+fn a_departure_binds_the_next_daemon_of_the_vm() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let (first, second) = (&fleet.vms[0], &fleet.vms[1]);
+        let life = WorkerLife {
+            id: first.worker.id.clone(),
+            born_unix_ms: 1_000,
+        };
+        first
+            .mesh
+            .gate
+            .borrow_mut()
+            .leave(&life.id, Some(1_000), now_us());
+        first.mesh.publish();
+        eventually("the entry of a VM whose worker has left", || {
+            let items = fleet.catalog.entry("daemons/vm-0").unwrap_or_default();
+            items.contains(r#""left":[{"#) && items.contains(r#""worker":null"#)
+        })
+        .await;
+        // The next daemon hears a report that was held up, before or after it has read the entry.
+        let entry = fleet.catalog.entry("daemons/vm-0").unwrap();
+        let mut previous: Announcement = serde_json::from_str(&entry).unwrap();
+        previous.vm = second.mesh.settings.name.clone();
+        previous.daemon_born_unix_ms = 0;
+        previous.left[0].id = second.worker.id.clone();
+        assert!(second.mesh.gate.borrow().worker_state().is_some());
+        second.mesh.learn(previous, "store");
+        assert!(second.mesh.gate.borrow().worker_state().is_none());
+        second.report(false);
+        assert!(second.mesh.gate.borrow().worker_state().is_none());
+        assert_eq!(second.mesh.own_announcement().left.len(), 1);
+        let got = fleet.ask("GET", "/read/x", "id").await;
+        assert_eq!(got.head.status, 503);
+    });
+}
--- a/tests/mesh/world.rs
+++ b/tests/mesh/world.rs
@@ -120,6 +120,13 @@
         self.oldest.set(self.revision.get());
     }
 
+    /// Value of a key.
+    pub(crate) fn entry(&self, key: &str) -> Option<String> {
+        let items = self.items.borrow();
+        let (value, _) = items.get(key)?;
+        String::from_utf8(value.clone()).ok()
+    }
+
     pub(crate) fn keys(&self) -> Vec<String> {
         self.items.borrow().keys().cloned().collect()
     }
