Keep one accept loop and one loop that follows the store

Three listeners had the same loop with their own counters and waits, and entries and configuration were followed by two copies. conn::accept_all and registry's follow take their places; accept.failed counts for all.

--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -1,6 +1,10 @@
 //! Buffered TCP connection.
 
 use {
+    crate::{
+        mesh::runtime::{detach, sleep_ms},
+        metrics::Metrics,
+    },
     futures::future::poll_fn,
     socket2::SockRef,
     std::{
@@ -176,6 +180,9 @@
     Ok(())
 }
 
+/// Wait after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_RETRY_MS: u64 = 50;
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -186,3 +193,30 @@
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
 }
+
+/// Gives each connection to an address to a task of its own.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub async fn accept_all<F>(
+    name: &'static str,
+    addr: SocketAddr,
+    metrics: &Metrics,
+    serve: impl Fn(TcpStream, SocketAddr) -> F,
+) -> io::Result<()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let listener = listen(addr)?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => detach(name, serve(stream, peer)),
+            Err(error) => {
+                tracing::warn!(listener = name, %error, "connection not accepted");
+                metrics.count("accept.failed");
+                sleep_ms(ACCEPT_RETRY_MS).await;
+            }
+        }
+    }
+}
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -10,7 +10,7 @@
         forward::{Answer, Inbound},
         http::{self, MessageError},
         routes::ClientLimits,
-        runtime::{detach, now_us, sleep_ms, until, within},
+        runtime::{now_us, until, within},
     },
     futures::{
         StreamExt,
@@ -30,9 +30,6 @@
 /// Time without progress after which a body is given up, in heads' time limits.
 const BODY_TIMEOUTS: u64 = 4;
 
-/// Wait after a connection could not be accepted, as when descriptors run out.
-const ACCEPT_RETRY_MS: u64 = 50;
-
 type Reading = LocalBoxFuture<'static, (Conn, Result<Inbound, MessageError>, bool)>;
 
 /// Serves clients until the listener fails.
@@ -41,24 +38,15 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = conn::listen(addr)?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let mesh = Rc::clone(&mesh);
-                detach("client", async move {
-                    mesh.clients.set(mesh.clients.get() + 1);
-                    serve(&mesh, stream).await;
-                    mesh.clients.set(mesh.clients.get() - 1);
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "client connection not accepted");
-                mesh.metrics.count("ingress.accept_failed");
-                sleep_ms(ACCEPT_RETRY_MS).await;
-            }
+    conn::accept_all("clients", addr, &mesh.metrics, |stream, _| {
+        let mesh = Rc::clone(&mesh);
+        async move {
+            mesh.clients.set(mesh.clients.get() + 1);
+            serve(&mesh, stream).await;
+            mesh.clients.set(mesh.clients.get() - 1);
         }
-    }
+    })
+    .await
 }
 
 async fn serve(mesh: &Rc<Mesh>, stream: TcpStream) {
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -9,7 +9,7 @@
             frame::{self, Call, CallNumber, Message},
             gate,
             link::Outbox,
-            runtime::{detach, sleep_ms, spawn},
+            runtime::spawn,
         },
     },
     async_executor::Task,
@@ -18,9 +18,6 @@
     tokio::net::TcpStream,
 };
 
-/// Wait after a connection could not be accepted, as when descriptors run out.
-const ACCEPT_RETRY_MS: u64 = 50;
-
 type Calls = Rc<RefCell<HashMap<CallNumber, Task<()>>>>;
 
 /// Serves other daemons until the listener fails.
@@ -29,20 +26,10 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = conn::listen(addr)?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let mesh = Rc::clone(&mesh);
-                detach("peer", async move { serve(mesh, stream, peer).await });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "peer connection not accepted");
-                mesh.metrics.count("peers.accept_failed");
-                sleep_ms(ACCEPT_RETRY_MS).await;
-            }
-        }
-    }
+    conn::accept_all("calls", addr, &mesh.metrics, |stream, peer| {
+        serve(Rc::clone(&mesh), stream, peer)
+    })
+    .await
 }
 
 async fn serve(mesh: Rc<Mesh>, stream: TcpStream, peer: SocketAddr) {
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -7,7 +7,7 @@
         gate::Change,
         http::{self, Head},
         protocol::ControlCall,
-        runtime::{detach, now_us, sleep_ms, within},
+        runtime::{now_us, within},
     },
     std::{fmt::Write, io, net::SocketAddr, rc::Rc},
     tokio::net::TcpStream,
@@ -22,9 +22,6 @@
 /// Time for one message, and for an idle connection.
 const MESSAGE_TIMEOUT_MS: u64 = 20_000;
 
-/// Wait after a connection could not be accepted.
-const ACCEPT_RETRY_MS: u64 = 50;
-
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -34,23 +31,15 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn listen(mesh: Rc<Mesh>, addr: SocketAddr) -> io::Result<()> {
-    let listener = conn::listen(addr)?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let mesh = Rc::clone(&mesh);
-                detach("port", async move {
-                    if let Err(error) = serve(&mesh, stream).await {
-                        tracing::debug!(%peer, %error, "port connection ended");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "port connection not accepted");
-                sleep_ms(ACCEPT_RETRY_MS).await;
+    conn::accept_all("ports", addr, &mesh.metrics, |stream, peer| {
+        let mesh = Rc::clone(&mesh);
+        async move {
+            if let Err(error) = serve(&mesh, stream).await {
+                tracing::debug!(%peer, %error, "port connection ended");
             }
         }
-    }
+    })
+    .await
 }
 
 async fn serve(mesh: &Rc<Mesh>, stream: TcpStream) -> io::Result<()> {
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -159,91 +159,76 @@
 
 /// Follows the entries of all daemons.
 pub async fn follow_entries(mesh: Rc<Mesh>) {
-    let mut backoff = Backoff::new();
-    let mut revision = None;
-    loop {
-        match follow_once(&mesh, &mut revision).await {
-            Ok(()) => {
-                mesh.registry.reached();
-                backoff = Backoff::new();
-            }
-            Err(error) => {
-                mesh.registry.failed(&error);
-                backoff.wait(&mesh).await;
-            }
-        }
-    }
-}
-
-async fn follow_once(mesh: &Rc<Mesh>, revision: &mut Option<u64>) -> Result<(), StoreError> {
-    let Some(after) = *revision else {
-        let (entries, listed) = mesh.catalog.list(PREFIX).await?;
-        *revision = Some(listed);
+    let listed = |entries| {
         mesh.take_listing(entries);
         mesh.is_directory_known.set(true);
-        return Ok(());
     };
-    match mesh.catalog.watch(PREFIX, after, WATCH_WAIT_MS).await? {
-        Watched::Compacted => *revision = None,
-        Watched::Changes {
-            changes,
-            revision: next,
-        } => {
-            *revision = Some(next);
-            for change in changes {
-                mesh.take_change(change);
-            }
-        }
-    }
-    Ok(())
+    follow(&mesh, PREFIX, listed, |change| mesh.take_change(change)).await;
 }
 
 /// Follows the configuration.
 pub async fn follow_config(mesh: Rc<Mesh>) {
+    let key = mesh.protocol.config_key();
+    let take = |entry: CatalogEntry| {
+        if entry.key == key {
+            mesh.take_config(&entry.value, "store");
+        }
+    };
+    let listed = |entries: Vec<CatalogEntry>| entries.into_iter().for_each(take);
+    let changed = |change| match change {
+        CatalogChange::Put(entry) => take(entry),
+        CatalogChange::Removed(key) => {
+            tracing::warn!(%key, "configuration removed from the store, kept here");
+        }
+    };
+    follow(&mesh, key, listed, changed).await;
+}
+
+/// Lists what is below a prefix, and follows its changes; lists again when the store no longer has
+/// the history.
+async fn follow(
+    mesh: &Mesh,
+    prefix: &str,
+    listed: impl Fn(Vec<CatalogEntry>),
+    changed: impl Fn(CatalogChange),
+) {
     let mut backoff = Backoff::new();
     let mut revision = None;
     loop {
-        match follow_config_once(&mesh, &mut revision).await {
+        match follow_once(mesh, prefix, &mut revision, &listed, &changed).await {
             Ok(()) => {
                 mesh.registry.reached();
                 backoff = Backoff::new();
             }
             Err(error) => {
                 mesh.registry.failed(&error);
-                backoff.wait(&mesh).await;
+                backoff.wait(mesh).await;
             }
         }
     }
 }
 
-async fn follow_config_once(mesh: &Rc<Mesh>, revision: &mut Option<u64>) -> Result<(), StoreError> {
-    let key = mesh.protocol.config_key();
-    let take = |entry: CatalogEntry| {
-        if entry.key == key {
-            mesh.take_config(&entry.value, "store");
-        }
-    };
+async fn follow_once(
+    mesh: &Mesh,
+    prefix: &str,
+    revision: &mut Option<u64>,
+    listed: &impl Fn(Vec<CatalogEntry>),
+    changed: &impl Fn(CatalogChange),
+) -> Result<(), StoreError> {
     let Some(after) = *revision else {
-        let (entries, listed) = mesh.catalog.list(key).await?;
-        *revision = Some(listed);
-        entries.into_iter().for_each(take);
+        let (entries, at) = mesh.catalog.list(prefix).await?;
+        *revision = Some(at);
+        listed(entries);
         return Ok(());
     };
-    match mesh.catalog.watch(key, after, WATCH_WAIT_MS).await? {
+    match mesh.catalog.watch(prefix, after, WATCH_WAIT_MS).await? {
         Watched::Compacted => *revision = None,
         Watched::Changes {
             changes,
             revision: next,
         } => {
             *revision = Some(next);
-            for change in changes {
-                match change {
-                    CatalogChange::Put(entry) => take(entry),
-                    CatalogChange::Removed(key) => {
-                        tracing::warn!(%key, "configuration removed from the store, kept here");
-                    }
-                }
-            }
+            changes.into_iter().for_each(changed);
         }
     }
     Ok(())
