--- a/tests/mesh/explained.rs
+++ b/tests/mesh/explained.rs
@@ -1,12 +1,12 @@
 //! The three kinds of failed request of docs/OPERATIONS.md: each is made with stand-ins, and its
-//! cause is found from logs and metrics alone.
+//! cause is found from logs and metrics alone. A log that nobody reads holds no request up.
 
 use {
     crate::world::{Act, Client, Fleet, run},
-    shallotdeal::{explain::Story, logs::mesh_log},
+    shallotdeal::{explain::Story, logs::mesh_log, mesh::runtime::now_us},
     std::{
         io::{self, Write},
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, mpsc},
     },
 };
 
@@ -98,3 +98,57 @@
     assert!(story.contains("was_sent=true"), "{story}");
     assert!(story.contains("took_us=1"), "{story}");
 }
+
+/// A pipe that nobody reads, until its other end is dropped.
+struct Stalled(mpsc::Receiver<()>);
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Ends when the sender is dropped.
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Serves requests one after the other, and gives the time of each.
+async fn served_us(fleet: &Fleet, requests: usize) -> Vec<u64> {
+    let mut client = Client::connect(&fleet.vms[0]).await;
+    let mut took_us = Vec::with_capacity(requests);
+    for number in 0..requests {
+        let started_us = now_us();
+        let id = format!("id-{number}");
+        client.send("GET", "/read/x", &id, "", b"").await;
+        let got = client.receive().await.expect("an answer");
+        assert_eq!(got.head.status, 200);
+        took_us.push(now_us() - started_us);
+    }
+    took_us.sort_unstable();
+    took_us
+}
+
+/// Serves many requests and tells their times, as a figure for docs/OPERATIONS.md.
+async fn serve_many(log_is: &str) {
+    let fleet = Fleet::start(2).await;
+    let took_us = served_us(&fleet, 3_000).await;
+    let (median_us, high_us) = (took_us[1_500], took_us[2_970]);
+    eprintln!("log {log_is}: p50 {median_us} us, p99 {high_us} us");
+}
+
+#[test]
+fn requests_are_served_while_nobody_reads_the_log() {
+    let (release, stalled) = mpsc::channel();
+    let (log, subscriber) = mesh_log(tracing::Level::INFO, Stalled(stalled));
+    tracing::subscriber::with_default(subscriber, || run(serve_many("stalled")));
+    drop(release);
+    drop(log);
+}
+
+#[test]
+fn requests_are_served_while_the_log_is_read() {
+    let lines = logged(serve_many("read"));
+    assert!(lines.contains("answered"));
+}
--- a/tests/mesh/world.rs
+++ b/tests/mesh/world.rs
@@ -300,8 +300,11 @@
                     return;
                 }
                 let accepted = runtime::within(20, listener.accept()).await;
-                let Some(Ok((stream, _))) = accepted else {
-                    continue;
+                let stream = match accepted {
+                    Some(Ok((stream, _))) => stream,
+                    // The event loop of an earlier run on this thread has ended.
+                    Some(Err(_)) => return,
+                    None => continue,
                 };
                 let worker = Rc::clone(&accepting);
                 runtime::detach(
