Keep one copy of what waits for a gate, of sample weights and connects

- The work that waits for a gate's decision, and what tells it, stood in both Local and LocalGate: waiting::Waiting serves both.
- The weight of a sample by the time since the last one was written three times (directory, limit, admission): policy::recent::sample_weight.
- Allowance counted first and extra sends by two copies of the same slices; Sends holds them, AllowanceRules tells the slice.
- The head for the worker was written for requests that the edge then refused; it is written when the request is sent.
The gate compared a call with a copy of its worker's state, now with the state itself.
The place of a log line is noted once, not at each line.
- The 800 ms in the advice on when to come back have a name.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -132,7 +132,7 @@
         let is_leaving = local.drain.stage() != Stage::Serving;
         let mut work = Vec::new();
         local.gate.set_draining(is_leaving, now.us, &mut work);
-        local.apply(work);
+        local.waiting.apply(work);
         standing(local.drain.stage())
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,4 +51,5 @@
 pub mod tasks;
 pub mod trace;
 pub mod view;
+pub mod waiting;
 pub mod worker;
--- a/src/local.rs
+++ b/src/local.rs
@@ -6,13 +6,14 @@
         collections::HashMap,
         policy::{
             drain::{Drain, DrainAction},
-            gate::{Action, Gate, WorkKey},
+            gate::Gate,
             once::{Once, OnceKey},
             retry::{AccountKey, Accounts},
             shed::GateRules,
             suspect::{Fingerprint, SuspectVerdict, Suspects},
         },
-        request::{ClassName, Importance, Incarnation, Level, Refusal, RequestId},
+        request::{ClassName, Importance, Incarnation, Level, RequestId},
+        waiting::Waiting,
         worker::Worker,
     },
     derive_more::Display,
@@ -84,7 +85,8 @@
     pub drain_actions: Vec<DrainAction>,
     /// Ends the process.
     pub exit: Option<oneshot::Sender<()>>,
-    waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
+    /// Queued calls that wait for the gate.
+    pub waiting: Waiting,
 }
 
 /// How a worker was lost.
@@ -131,38 +133,7 @@
             joined: HashMap::default(),
             drain_actions: Vec::new(),
             exit: None,
-            waiting: HashMap::default(),
-        }
-    }
-
-    /// Waits for the gate's decision on queued work.
-    pub fn wait(&mut self, key: WorkKey) -> oneshot::Receiver<Result<(), Refusal>> {
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(key, sender);
-        receiver
-    }
-
-    /// Number of queued calls that wait for the gate.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Forgets that work waits.
-    pub fn unwait(&mut self, key: WorkKey) {
-        self.waiting.remove(&key);
-    }
-
-    /// Tells queued work what the gate decided.
-    pub fn apply(&mut self, actions: Vec<Action>) {
-        for action in actions {
-            let (key, verdict) = match action {
-                Action::Start(key) => (key, Ok(())),
-                Action::Refuse(key, refusal) => (key, Err(refusal)),
-            };
-            if let Some(waiting) = self.waiting.remove(&key) {
-                // A receiver that has gone away gives its slot back by itself.
-                let _ = waiting.send(verdict);
-            }
+            waiting: Waiting::default(),
         }
     }
 
@@ -182,7 +153,7 @@
         }
         let mut actions = Vec::new();
         self.gate.reset(now.us, &mut actions);
-        self.apply(actions);
+        self.waiting.apply(actions);
         true
     }
 
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -186,8 +186,10 @@
     fn event_enabled(&self, event: &Event<'_>, _context: &Context<'_, S>) -> bool {
         let metadata = event.metadata();
         let mut kinds = self.kinds.lock();
-        let kind = kinds.entry(metadata.callsite()).or_default();
-        kind.place = metadata.file().zip(metadata.line());
+        let kind = kinds.entry(metadata.callsite()).or_insert_with(|| Kind {
+            place: metadata.file().zip(metadata.line()),
+            ..Kind::default()
+        });
         kind.admits(now_us())
     }
 }
--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        mesh::runtime::{detach, sleep_ms},
+        mesh::runtime::{detach, sleep_ms, within},
         metrics::Metrics,
     },
     futures::future::poll_fn,
@@ -69,6 +69,16 @@
         Self::new(TcpStream::connect(addr).await?)
     }
 
+    /// Connects to a peer within a time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer refuses the connection or does not accept it in time.
+    pub async fn connect_within(addr: SocketAddr, timeout_ms: u64) -> io::Result<Self> {
+        let connected = within(timeout_ms, Self::connect(addr)).await;
+        connected.unwrap_or_else(|| Err(io::Error::new(io::ErrorKind::TimedOut, "time-out")))
+    }
+
     /// Address of the other side.
     ///
     /// # Errors
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -10,6 +10,7 @@
         collections::HashMap,
         mesh::frame::{GateLoad, WorkerLife},
         place::{DataCentre, Region},
+        policy::recent::sample_weight,
         request::ServiceName,
     },
     rand::{RngExt, SeedableRng},
@@ -494,8 +495,8 @@
     }
 
     fn note_latency(&mut self, took_us: f64, now_us: u64) {
-        let age_us = now_us.saturating_sub(self.latency_at_us) as f64;
-        let weight = (1.0 - (-age_us / LATENCY_TAU_US).exp()).max(LATENCY_WEIGHT);
+        let gap_us = now_us.saturating_sub(self.latency_at_us);
+        let weight = sample_weight(gap_us, LATENCY_TAU_US).max(LATENCY_WEIGHT);
         self.latency_us += (took_us - self.latency_us) * weight;
         self.latency_at_us = now_us;
     }
--- a/src/mesh/edge.rs
+++ b/src/mesh/edge.rs
@@ -13,6 +13,10 @@
 pub(super) const RETRY_AFTER_MIN_MS: u32 = 100;
 const RETRY_AFTER_MAX_MS: u32 = 2_000;
 
+/// Time that is added to the least advice when nothing of a class is admitted, on average. Chosen so
+/// that callers spread over about a second; other values were not compared.
+const RETRY_AFTER_SPAN_MS: f64 = 800.0;
+
 /// Part of the time left up to which callers wait as they are told; a later time is not honoured.
 const RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
 
@@ -50,7 +54,8 @@
         tracing::info!(attempt = %out.facts.attempt_id, route = %out.route.name, %scarce,
             load_permille, admitted_share, "refused at the edge");
         let jitter: f64 = self.rng.borrow_mut().random_range(0.5..1.5);
-        let after_ms = f64::from(RETRY_AFTER_MIN_MS) + 800.0 * (1.0 - admitted_share) * jitter;
+        let span_ms = RETRY_AFTER_SPAN_MS * (1.0 - admitted_share) * jitter;
+        let after_ms = f64::from(RETRY_AFTER_MIN_MS) + span_ms;
         let after_ms = (after_ms as u32).min(out.longest_retry_after_ms(now_us));
         Some(Refusal::not_run(Reason::Overload).retry_after_ms(after_ms))
     }
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -57,7 +57,6 @@
     pub(super) fingerprint: u64,
     pub(super) started_us: u64,
     pub(super) deadline_us: u64,
-    pub(super) payload_head: Vec<u8>,
 }
 
 impl Answer {
@@ -98,7 +97,7 @@
         let mut trail = Trail::new();
         let result = match refused {
             Some(refusal) => Err(refusal),
-            None => self.forward(&out, &inbound.body, &mut trail).await,
+            None => self.forward(&out, &inbound, &mut trail).await,
         };
         self.conclude(&out, &trail, result)
     }
@@ -123,7 +122,6 @@
             fingerprint: self.fingerprint(inbound),
             started_us: now_us,
             deadline_us,
-            payload_head: self.payload_head(&inbound.head),
             service,
             route,
             facts,
@@ -155,7 +153,7 @@
         ))
     }
 
-    fn payload_head(&self, head: &Head) -> Vec<u8> {
+    pub(super) fn payload_head(&self, head: &Head) -> Vec<u8> {
         let mut out = Vec::with_capacity(512);
         for part in [
             head.method.as_str(),
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -12,13 +12,11 @@
             protocol::{WorkerOrders, WorkerReport},
             runtime::{now_us, until},
         },
-        policy::gate::{Action, Arrival, Finish, Gate, Offer, WorkKey},
+        policy::gate::{Arrival, Finish, Gate, Offer, WorkKey},
         request::{Importance, Rank, Reason, Refusal, ServiceName},
+        waiting::{Waiter, Waiting},
     },
-    futures::{
-        channel::oneshot,
-        future::{Either, select},
-    },
+    futures::future::{Either, select},
     smol_str::SmolStr,
     std::{collections::VecDeque, pin::pin, rc::Rc},
 };
@@ -94,7 +92,7 @@
     worker: Option<LocalWorker>,
     departures: VecDeque<Departure>,
     gate: Gate,
-    waiting: HashMap<WorkKey, oneshot::Sender<Result<(), Refusal>>>,
+    waiting: Waiting,
     /// Requests at the worker, by attempt.
     pub running: HashMap<SmolStr, Running>,
     is_stopping: bool,
@@ -107,22 +105,25 @@
             worker: None,
             departures: VecDeque::new(),
             gate,
-            waiting: HashMap::default(),
+            waiting: Waiting::default(),
             running: HashMap::default(),
             is_stopping: false,
         }
     }
 
+    /// Last report of the worker; `None` while it takes no requests.
+    fn serving(&self) -> Option<&WorkerReport> {
+        let worker = self.worker.as_ref()?;
+        let is_closed = worker.is_down || worker.report.is_draining || self.is_stopping;
+        (!is_closed).then_some(&worker.report)
+    }
+
     /// Worker as others may use it; `None` while it takes no requests.
     pub fn worker_state(&self) -> Option<WorkerState> {
-        let worker = self.worker.as_ref()?;
-        if worker.is_down || worker.report.is_draining || self.is_stopping {
-            return None;
-        }
-        Some(WorkerState {
-            life: worker.report.life.clone(),
-            service: worker.report.service.clone(),
-            slots: worker.report.slots,
+        self.serving().map(|report| WorkerState {
+            life: report.life.clone(),
+            service: report.service.clone(),
+            slots: report.slots,
         })
     }
 
@@ -163,7 +164,7 @@
             let is_draining = worker.report.is_draining || self.is_stopping;
             self.gate.set_draining(is_draining, now_us, &mut actions);
         }
-        self.apply(actions);
+        self.waiting.apply(actions);
         if self.worker_state() == before {
             Change::None
         } else {
@@ -237,7 +238,7 @@
     fn drain(&mut self, now_us: u64) {
         let mut actions = Vec::new();
         self.gate.set_draining(true, now_us, &mut actions);
-        self.apply(actions);
+        self.waiting.apply(actions);
     }
 
     /// Notes that the worker's port is closed or silent; true if that is news.
@@ -251,7 +252,7 @@
         worker.is_down = true;
         let mut actions = Vec::new();
         self.gate.reset(now_us, &mut actions);
-        self.apply(actions);
+        self.waiting.apply(actions);
         true
     }
 
@@ -259,7 +260,7 @@
     pub fn tick(&mut self, now_us: u64) {
         let mut actions = Vec::new();
         self.gate.tick(now_us, &mut actions);
-        self.apply(actions);
+        self.waiting.apply(actions);
     }
 
     /// Requests at the worker and requests that wait.
@@ -304,8 +305,8 @@
 
     fn offer(&mut self, call: &Call, deadline_us: u64, now_us: u64) -> Result<Ticket, Refusal> {
         let is_served = self
-            .worker_state()
-            .is_some_and(|worker| worker.life == call.worker && worker.service == call.service);
+            .serving()
+            .is_some_and(|report| report.life == call.worker && report.service == call.service);
         if !is_served {
             return Err(Refusal::not_run(Reason::Draining));
         }
@@ -316,45 +317,28 @@
         };
         let mut actions = Vec::new();
         let offer = self.gate.offer(arrival, now_us, &mut actions);
-        self.apply(actions);
+        self.waiting.apply(actions);
         match offer {
             Offer::Started(key) => Ok(Ticket { key, waiting: None }),
-            Offer::Queued(key) => {
-                let (sender, receiver) = oneshot::channel();
-                self.waiting.insert(key, sender);
-                Ok(Ticket {
-                    key,
-                    waiting: Some(receiver),
-                })
-            }
+            Offer::Queued(key) => Ok(Ticket {
+                key,
+                waiting: Some(self.waiting.wait(key)),
+            }),
             Offer::Refused(refusal) => Err(refusal),
         }
     }
 
     fn finish(&mut self, key: WorkKey, finish: Finish, now_us: u64) {
-        self.waiting.remove(&key);
+        self.waiting.forget(key);
         let mut actions = Vec::new();
         self.gate.finish(key, finish, now_us, &mut actions);
-        self.apply(actions);
-    }
-
-    fn apply(&mut self, actions: Vec<Action>) {
-        for action in actions {
-            let (key, verdict) = match action {
-                Action::Start(key) => (key, Ok(())),
-                Action::Refuse(key, refusal) => (key, Err(refusal)),
-            };
-            if let Some(waiting) = self.waiting.remove(&key) {
-                // A receiver that has gone away gives its slot back by itself.
-                let _ = waiting.send(verdict);
-            }
-        }
+        self.waiting.apply(actions);
     }
 }
 
 struct Ticket {
     key: WorkKey,
-    waiting: Option<oneshot::Receiver<Result<(), Refusal>>>,
+    waiting: Option<Waiter>,
 }
 
 /// Place at the gate; given back when dropped.
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -7,7 +7,7 @@
             Mesh,
             conn::{Conn, write_all},
             frame::{self, Call, CallNumber, Message, Reply},
-            runtime::{detach, now_us, sleep_ms, within},
+            runtime::{detach, now_us, sleep_ms},
         },
     },
     derive_more::{Display, Error},
@@ -222,18 +222,11 @@
             }
             self.connecting.set(true);
             let guard = Connecting(self);
-            let conn = within(CONNECT_TIMEOUT_MS, Conn::connect(self.addr)).await;
-            let conn = match conn {
-                Some(Ok(conn)) => conn,
-                Some(Err(error)) => {
-                    self.failed_us.set(now_us());
-                    return Err(self.error("connect", &error.to_string(), false));
-                }
-                None => {
-                    self.failed_us.set(now_us());
-                    return Err(self.error("connect", "time-out", false));
-                }
-            };
+            let conn = Conn::connect_within(self.addr, CONNECT_TIMEOUT_MS).await;
+            let conn = conn.map_err(|error| {
+                self.failed_us.set(now_us());
+                self.error("connect", &error.to_string(), false)
+            })?;
             let session = Rc::new(Session {
                 outbox: Outbox::default(),
                 pending: RefCell::default(),
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -49,9 +49,7 @@
     // Either way the connection has ended; dropping the calls cancels them at the worker.
     select(reading, writing).await;
     let left = std::mem::take(&mut *calls.borrow_mut());
-    for task in left.into_values() {
-        drop(task);
-    }
+    drop(left);
 }
 
 async fn read(
--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -5,7 +5,7 @@
         conn::Conn,
         http::{self, Head, MessageError},
         protocol::{AnswerFacts, Protocol},
-        runtime::{now_us, within},
+        runtime::now_us,
     },
     derive_more::{Display, Error},
     futures::future::{Either, select},
@@ -229,11 +229,8 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Conn, SmolStr> {
-        match within(CONNECT_TIMEOUT_MS, Conn::connect(addr)).await {
-            Some(Ok(conn)) => Ok(conn),
-            Some(Err(error)) => Err(error.to_smolstr()),
-            None => Err("time-out".into()),
-        }
+        let conn = Conn::connect_within(addr, CONNECT_TIMEOUT_MS).await;
+        conn.map_err(|error| error.to_smolstr())
     }
 
     fn keep(&self, conn: Conn, head: &Head) {
--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -5,18 +5,18 @@
         mesh::{
             Mesh,
             directory::{Choice, Ended, Reach},
-            forward::{Answer, Outgoing},
+            forward::{Answer, Inbound, Outgoing},
             frame::{Call, CallResult, GateLoad, Pressure, Reply, WorkerLife},
             gate,
             link::{Link, LinkResult},
             runtime::{now_us, until},
         },
-        policy::admission::Met,
-        request::{Outcome, Reason, Refusal},
+        policy::{admission::Met, allowance::Allowance},
+        request::{Outcome, Reason, Refusal, ServiceName},
     },
     futures::future::{Either, select},
     smol_str::SmolStr,
-    std::{pin::pin, rc::Rc},
+    std::{cell::RefMut, pin::pin, rc::Rc},
 };
 
 /// Gates that may turn a request away before it is given up; more would spread overload.
@@ -71,13 +71,12 @@
     pub(super) async fn forward(
         self: &Rc<Self>,
         out: &Outgoing,
-        body: &[u8],
+        inbound: &Inbound,
         trail: &mut Trail,
     ) -> Result<Answer, Refusal> {
-        self.allowances
-            .borrow_mut()
-            .entry(out.service.clone())
-            .or_default()
+        let head = self.payload_head(&inbound.head);
+        let payload = [head.as_slice(), inbound.body.as_slice()];
+        self.allowance(&out.service)
             .first(self.settings.allowance, out.started_us);
         let mut end = TrailEnd {
             failure: None,
@@ -100,7 +99,7 @@
             if trail.sends > 0 && !self.allows_extra(out, now_us) {
                 return end.conclude(trail);
             }
-            let sent = self.send(out, body, &choice, trail).await;
+            let sent = self.send(out, payload, &choice, trail).await;
             trail.vm = choice.vm;
             trail.tried.push(choice.life);
             match sent {
@@ -114,14 +113,20 @@
         }
     }
 
+    /// Extra sends to a service.
+    fn allowance(&self, service: &ServiceName) -> RefMut<'_, Allowance> {
+        RefMut::map(self.allowances.borrow_mut(), |allowances| {
+            allowances.entry(service.clone()).or_default()
+        })
+    }
+
     /// Asks the service's allowance for one more send, and counts it.
     fn allows_extra(&self, out: &Outgoing, now_us: u64) -> bool {
         let table = self.routes.borrow();
         let place = table
             .as_ref()
             .map_or(0, |table| table.place(out.root_importance));
-        let mut allowances = self.allowances.borrow_mut();
-        let allowance = allowances.entry(out.service.clone()).or_default();
+        let mut allowance = self.allowance(&out.service);
         let is_paid = allowance.extra(self.settings.allowance, place, out.depth, now_us);
         if is_paid {
             self.metrics.count("retry.sent");
@@ -135,16 +140,15 @@
     async fn send(
         self: &Rc<Self>,
         out: &Outgoing,
-        body: &[u8],
+        payload: [&[u8]; 2],
         choice: &Choice,
         trail: &mut Trail,
     ) -> Sent {
         let sent_us = now_us();
         let mut picked = Picked::new(self, choice);
-        let call = out.call(choice, self, sent_us);
-        let parts = [out.payload_head.as_slice(), body];
+        let call = out.call(choice, self, payload[0].len(), sent_us);
         let result = match select(
-            pin!(self.deliver(choice, call, &parts)),
+            pin!(self.deliver(choice, call, &payload)),
             until(out.deadline_us),
         )
         .await
@@ -152,9 +156,7 @@
             Either::Left((result, _)) => result,
             Either::Right(_) => {
                 picked.end(Ended::Failed, None);
-                trail.sends += 1;
-                trail.may_have_run = true;
-                return Sent::Refused(Refusal::unknown(Reason::Deadline));
+                return trail.left_in_doubt(Reason::Deadline);
             }
         };
         let (reply, payload) = match result {
@@ -165,9 +167,7 @@
                 if !error.may_have_arrived {
                     return Sent::Refused(Refusal::not_run(Reason::Unreachable));
                 }
-                trail.sends += 1;
-                trail.may_have_run = true;
-                return Sent::Refused(Refusal::unknown(Reason::Broken));
+                return trail.left_in_doubt(Reason::Broken);
             }
         };
         trail.sends += u32::from(reply.was_sent);
@@ -201,10 +201,7 @@
             } => {
                 let took_us = now_us().saturating_sub(sent_us);
                 let has_failed = not_run || (status >= 500 && !reply.met_failure);
-                let mut allowances = self.allowances.borrow_mut();
-                let allowance = allowances.entry(out.service.clone()).or_default();
-                allowance.ran(reply.made_calls);
-                drop(allowances);
+                self.allowance(&out.service).ran(reply.made_calls);
                 let ended = if has_failed {
                     Ended::Failed
                 } else {
@@ -283,7 +280,7 @@
 }
 
 impl Outgoing {
-    fn call(&self, choice: &Choice, mesh: &Mesh, now_us: u64) -> Call {
+    fn call(&self, choice: &Choice, mesh: &Mesh, head_bytes: usize, now_us: u64) -> Call {
         Call {
             attempt_id: self.facts.attempt_id.clone(),
             route: self.route.name.clone(),
@@ -298,7 +295,7 @@
             exclusive: false,
             fingerprint: self.fingerprint,
             remaining_us: self.deadline_us.saturating_sub(now_us),
-            head_bytes: self.payload_head.len() as u32,
+            head_bytes: head_bytes as u32,
         }
     }
 }
@@ -316,6 +313,13 @@
         }
     }
 
+    /// Counts a send of which nothing came back.
+    fn left_in_doubt(&mut self, reason: Reason) -> Sent {
+        self.sends += 1;
+        self.may_have_run = true;
+        Sent::Refused(Refusal::unknown(reason))
+    }
+
     /// Tells whether another send may be tried. Only what reached a worker counts as a send; a gate
     /// that turns a request away costs none.
     fn may_go_on(&self, out: &Outgoing) -> bool {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -12,6 +12,7 @@
 use {
     crate::{
         collections::HashMap,
+        policy::recent::sample_weight,
         request::{Importance, ServiceName},
     },
     smol_str::SmolStr,
@@ -274,8 +275,7 @@
 
 impl Scarce {
     fn take(&mut self, load_permille: f64, now_us: u64) {
-        let age_us = now_us.saturating_sub(self.load_at_us) as f64;
-        let weight = 1.0 - (-age_us / LOAD_TAU_US).exp();
+        let weight = sample_weight(now_us.saturating_sub(self.load_at_us), LOAD_TAU_US);
         self.load_permille += (load_permille - self.load_permille) * weight;
         self.load_at_us = now_us;
     }
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -39,12 +39,54 @@
     pub window_us: u64,
 }
 
+impl AllowanceRules {
+    /// Number of the slice of time that sends are counted in.
+    fn slice(self, now_us: u64) -> u64 {
+        now_us / (self.window_us / SLICES).max(1)
+    }
+
+    /// Last slice before the present window.
+    fn oldest_slice(self, now_us: u64) -> u64 {
+        self.slice(now_us).saturating_sub(SLICES)
+    }
+}
+
+/// Sends by slice of time, the oldest first.
+#[derive(Debug, Default)]
+struct Sends {
+    slices: VecDeque<(u64, u32)>,
+}
+
+impl Sends {
+    fn count(&mut self, slice: u64) {
+        match self.slices.back_mut() {
+            Some((last, count)) if *last == slice => *count += 1,
+            _ => self.slices.push_back((slice, 1)),
+        }
+    }
+
+    fn forget_until(&mut self, slice: u64) {
+        while self
+            .slices
+            .front()
+            .is_some_and(|(first, _)| *first <= slice)
+        {
+            self.slices.pop_front();
+        }
+    }
+
+    fn sum(&self, is_counted: impl Fn(u64) -> bool) -> f64 {
+        let counted = self.slices.iter().filter(|(slice, _)| is_counted(*slice));
+        counted.map(|(_, count)| f64::from(*count)).sum()
+    }
+}
+
 /// Count of one service's sends in a sliding window.
 #[derive(Debug, Default)]
 pub struct Allowance {
-    /// First sends by slice, of the present window and of the one before it.
-    slices: VecDeque<(u64, u32)>,
-    extra: VecDeque<(u64, f64)>,
+    /// First sends, of the present window and of the one before it.
+    firsts: Sends,
+    extra: Sends,
     calling_share: f64,
 }
 
@@ -52,11 +94,7 @@
     /// Counts the first send of a request.
     pub fn first(&mut self, rules: AllowanceRules, now_us: u64) {
         self.expire(rules, now_us);
-        let slice = now_us / (rules.window_us / SLICES).max(1);
-        match self.slices.back_mut() {
-            Some((last, count)) if *last == slice => *count += 1,
-            _ => self.slices.push_back((slice, 1)),
-        }
+        self.firsts.count(rules.slice(now_us));
     }
 
     /// Takes whether a run at the service made calls of its own.
@@ -76,56 +114,27 @@
             INNER_PART * 0.5_f64.powi(i32::from(deeper))
         };
         let part = part / (1 + place) as f64;
-        let spent: f64 = self.extra.iter().map(|(_, sends)| sends).sum();
-        if spent + 1.0 > self.firsts(rules, now_us) * rules.ratio * part {
+        let spent = self.extra.sum(|_| true);
+        if spent + 1.0 > self.counted_firsts(rules, now_us) * rules.ratio * part {
             return false;
         }
-        let slice = now_us / (rules.window_us / SLICES).max(1);
-        match self.extra.back_mut() {
-            Some((last, count)) if *last == slice => *count += 1.0,
-            _ => self.extra.push_back((slice, 1.0)),
-        }
+        self.extra.count(rules.slice(now_us));
         true
     }
 
     /// First sends that count: those of the present window, or of the one before it, as when most
     /// requests are refused since. The latter count up to twice the former, as requests that now
     /// come to other daemons are counted there.
-    fn firsts(&self, rules: AllowanceRules, now_us: u64) -> f64 {
-        let oldest = oldest_slice(rules, now_us);
-        let (mut present, mut before) = (0.0, 0.0);
-        for (slice, count) in &self.slices {
-            let window = if *slice > oldest {
-                &mut present
-            } else {
-                &mut before
-            };
-            *window += f64::from(*count);
-        }
+    fn counted_firsts(&self, rules: AllowanceRules, now_us: u64) -> f64 {
+        let oldest = rules.oldest_slice(now_us);
+        let present = self.firsts.sum(|slice| slice > oldest);
+        let before = self.firsts.sum(|slice| slice <= oldest);
         f64::max(present, before.min(2.0 * present))
     }
 
     fn expire(&mut self, rules: AllowanceRules, now_us: u64) {
-        let oldest = oldest_slice(rules, now_us);
-        let is_past = |slice: u64, oldest: u64| slice <= oldest;
-        while self
-            .slices
-            .front()
-            .is_some_and(|(slice, _)| is_past(*slice, oldest.saturating_sub(SLICES)))
-        {
-            self.slices.pop_front();
-        }
-        while self
-            .extra
-            .front()
-            .is_some_and(|(slice, _)| is_past(*slice, oldest))
-        {
-            self.extra.pop_front();
-        }
+        let oldest = rules.oldest_slice(now_us);
+        self.firsts.forget_until(oldest.saturating_sub(SLICES));
+        self.extra.forget_until(oldest);
     }
 }
-
-/// Last slice before the present window.
-fn oldest_slice(rules: AllowanceRules, now_us: u64) -> u64 {
-    (now_us / (rules.window_us / SLICES).max(1)).saturating_sub(SLICES)
-}
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -5,6 +5,8 @@
 //! backend server; if it does not, they are real. A service that becomes slow at every limit keeps
 //! its limit.
 
+use crate::policy::recent::sample_weight;
+
 /// Samples that one epoch compares, for each slot of the limit, and their bounds.
 const EPOCH_SAMPLES_PER_SLOT: u32 = 8;
 const EPOCH_SAMPLES_MIN: u32 = 96;
@@ -90,14 +92,14 @@
     /// Adds a sample.
     pub fn add(&mut self, sample_us: u64, now_us: u64) {
         let sample_us = sample_us as f64;
-        let gap_us = now_us.saturating_sub(self.mean_at_us) as f64;
+        let gap_us = now_us.saturating_sub(self.mean_at_us);
         self.mean_at_us = now_us;
         if self.mean_us == 0.0 {
             self.mean_us = sample_us;
             self.expected_us = sample_us;
             return;
         }
-        let weight = (1.0 - (-gap_us / MEAN_TAU_US).exp()).max(MEAN_WEIGHT);
+        let weight = sample_weight(gap_us, MEAN_TAU_US).max(MEAN_WEIGHT);
         self.mean_us += (sample_us - self.mean_us) * weight;
         let weight = if sample_us < self.expected_us {
             FALL_WEIGHT
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod paths;
 pub mod prospect;
 pub mod queue;
+pub mod recent;
 pub mod retry;
 pub mod shed;
 pub mod suspect;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -16,6 +16,7 @@
         request::{Incarnation, Level, Outcome, Reason, Refusal},
         spawn::spawn,
         trace::Event,
+        waiting::Waiter,
     },
     async_trait::async_trait,
     futures::{
@@ -168,7 +169,7 @@
         Ok(slot)
     }
 
-    fn offer(&self) -> Result<(Slot, Option<Waiting>), Refusal> {
+    fn offer(&self) -> Result<(Slot, Option<Waiter>), Refusal> {
         let node = &self.node;
         let now = node.now();
         let mut local = node.local.lock();
@@ -191,11 +192,11 @@
         };
         let mut actions = Vec::new();
         let offer = local.gate.offer(arrival, now.us, &mut actions);
-        local.apply(actions);
+        local.waiting.apply(actions);
         match offer {
             Offer::Started(key) => Ok((self.slot_for(Some(key)), None)),
             Offer::Queued(key) => {
-                let waiting = local.wait(key);
+                let waiting = local.waiting.wait(key);
                 Ok((self.slot_for(Some(key)), Some(waiting)))
             }
             Offer::Refused(refusal) => {
@@ -320,8 +321,6 @@
     }
 }
 
-type Waiting = oneshot::Receiver<Result<(), Refusal>>;
-
 /// One order in the record; its end is told to all who wait for it, also after a panic.
 struct Order {
     node: Arc<Node>,
@@ -373,10 +372,10 @@
             .take()
             .and_then(|call_id| local.running.remove(&call_id));
         if let Some(key) = self.key.take() {
-            local.unwait(key);
+            local.waiting.forget(key);
             let mut actions = Vec::new();
             local.gate.finish(key, self.finish, now_us, &mut actions);
-            local.apply(actions);
+            local.waiting.apply(actions);
         }
         // A new life of the worker counts its own requests only.
         if local.last_incarnation == self.incarnation {
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -179,7 +179,7 @@
         let mut local = self.local.lock();
         let mut actions = Vec::new();
         local.gate.tick(now.us, &mut actions);
-        local.apply(actions);
+        local.waiting.apply(actions);
         let drain_actions = local.drain.tick(stop_limit_ms, now.us);
         local.drain_actions.extend(drain_actions);
         for action in std::mem::take(&mut local.drain_actions) {
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -339,7 +339,7 @@
                 local.accounts.len(),
                 local.running.len(),
                 local.joined.len(),
-                local.waiting(),
+                local.waiting.len(),
                 local.gate.in_flight(),
                 local.gate.report(node.clock.now_us()).queued.values().sum(),
                 report.in_flight as usize,
