Share the log writers of two tests, and the loop over seeds

tests/logs.rs and tests/mesh/explained.rs had the same page and the same stalled pipe; both are in tests/writers. Seeds, bounds and assertions are what they were.

--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -309,79 +309,81 @@
 
 const UNEQUAL: [f64; 4] = [1.4, 0.6, 1.2, 0.8];
 
+/// Plays a day with several seeds and looks at each.
+fn each_seed(speeds: [f64; 4], day: &Day, check: impl Fn(&Seen, &str)) {
+    for seed in 1..=4 {
+        let seen = World::new(speeds, seed).play(day);
+        let told = format!("seed {seed}: {seen:?}");
+        eprintln!("{told}");
+        check(&seen, &told);
+    }
+}
+
 #[test]
 fn no_queue_grows_while_the_next_data_centre_has_room() {
-    for seed in 1..=4 {
-        let day = Day {
-            load: 0.85,
-            clump: 1,
-            origins: [0.25; 4],
-            seconds: 8,
-            slowness: |_| 1.0,
-        };
-        let seen = World::new(UNEQUAL, seed).play(&day);
-        eprintln!("seed {seed}: {seen:?}");
+    let day = Day {
+        load: 0.85,
+        clump: 1,
+        origins: [0.25; 4],
+        seconds: 8,
+        slowness: |_| 1.0,
+    };
+    each_seed(UNEQUAL, &day, |seen, told| {
         // A call waits for less than a tenth of its work, and next to no slot is idle meanwhile.
-        assert!(seen.waited_us < WORK_US / 10.0, "seed {seed}: {seen:?}");
-        assert!(seen.wasted < 0.02, "seed {seed}: {seen:?}");
-    }
+        assert!(seen.waited_us < WORK_US / 10.0, "{told}");
+        assert!(seen.wasted < 0.02, "{told}");
+    });
 }
 
 #[test]
 fn calls_that_come_together_from_one_side_use_the_slower_workers_too() {
-    for seed in 1..=4 {
-        // As when the fast workers of the service above make most of the calls.
-        let day = Day {
-            load: 0.85,
-            clump: 4,
-            origins: [0.4, 0.1, 0.4, 0.1],
-            seconds: 8,
-            slowness: |_| 1.0,
-        };
-        let seen = World::new(UNEQUAL, seed).play(&day);
-        eprintln!("seed {seed}: {seen:?}");
-        assert!(seen.waited_us < WORK_US / 5.0, "seed {seed}: {seen:?}");
-        assert!(seen.wasted < 0.03, "seed {seed}: {seen:?}");
-    }
+    // As when the fast workers of the service above make most of the calls.
+    let day = Day {
+        load: 0.85,
+        clump: 4,
+        origins: [0.4, 0.1, 0.4, 0.1],
+        seconds: 8,
+        slowness: |_| 1.0,
+    };
+    each_seed(UNEQUAL, &day, |seen, told| {
+        assert!(seen.waited_us < WORK_US / 5.0, "{told}");
+        assert!(seen.wasted < 0.03, "{told}");
+    });
 }
 
 #[test]
 fn calls_stay_in_their_data_centre_while_it_has_room() {
-    for seed in 1..=4 {
-        let day = Day {
-            load: 0.4,
-            clump: 1,
-            origins: [0.25; 4],
-            seconds: 8,
-            slowness: |_| 1.0,
-        };
-        let seen = World::new(UNEQUAL, seed).play(&day);
-        eprintln!("seed {seed}: {seen:?}");
-        assert!(seen.left_centre < 0.05, "seed {seed}: {seen:?}");
-        assert!(seen.left_region < 0.01, "seed {seed}: {seen:?}");
-    }
+    let day = Day {
+        load: 0.4,
+        clump: 1,
+        origins: [0.25; 4],
+        seconds: 8,
+        slowness: |_| 1.0,
+    };
+    each_seed(UNEQUAL, &day, |seen, told| {
+        assert!(seen.left_centre < 0.05, "{told}");
+        assert!(seen.left_region < 0.01, "{told}");
+    });
 }
 
 #[test]
 fn workers_that_were_all_slow_for_a_while_are_all_used_again() {
-    for seed in 1..=4 {
-        // As when a service below this one is overloaded for a moment.
-        let day = Day {
-            load: 0.7,
-            clump: 1,
-            origins: [0.25; 4],
-            seconds: 14,
-            slowness: |at_ms| match at_ms {
-                3_000..3_300 => 20.0,
-                _ => 1.0,
-            },
-        };
-        let seen = World::new([1.0; 4], seed).play(&day);
-        eprintln!("seed {seed}: {seen:?}");
-        assert!(seen.waited_us < WORK_US / 10.0, "seed {seed}: {seen:?}");
-        assert!(seen.wasted < 0.02, "seed {seed}: {seen:?}");
-        assert!(seen.left_region < 0.05, "seed {seed}: {seen:?}");
-    }
+    // As when a service below this one is overloaded for a moment.
+    let day = Day {
+        load: 0.7,
+        clump: 1,
+        origins: [0.25; 4],
+        seconds: 14,
+        slowness: |at_ms| match at_ms {
+            3_000..3_300 => 20.0,
+            _ => 1.0,
+        },
+    };
+    each_seed([1.0; 4], &day, |seen, told| {
+        assert!(seen.waited_us < WORK_US / 10.0, "{told}");
+        assert!(seen.wasted < 0.02, "{told}");
+        assert!(seen.left_region < 0.05, "{told}");
+    });
 }
 
 #[test]
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -1,43 +1,13 @@
 //! Log of a platform daemon: bounded by kind, and never waited for.
 
+mod writers;
+
 use {
-    parking_lot::Mutex,
     shallotdeal::logs::mesh_log,
-    std::{
-        io::{self, Write},
-        sync::{Arc, mpsc},
-    },
+    std::sync::mpsc,
+    writers::{Page, Stalled},
 };
 
-#[derive(Clone, Default)]
-struct Page(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Page {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-/// A pipe that nobody reads, until its other end is dropped.
-struct Stalled(mpsc::Receiver<()>);
-
-impl Write for Stalled {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        // Ends when the sender is dropped.
-        let _ = self.0.recv();
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 #[test]
 fn many_lines_of_one_kind_do_not_displace_another() {
     let page = Page::default();
@@ -54,7 +24,7 @@
         log.losses.report();
     });
     drop(log);
-    let text = String::from_utf8(page.0.lock().clone()).unwrap();
+    let text = page.text();
     let count = |message: &str| {
         let message = format!(r#""message":"{message}""#);
         text.lines().filter(|line| line.contains(&message)).count()
--- a/tests/mesh/explained.rs
+++ b/tests/mesh/explained.rs
@@ -2,36 +2,21 @@
 //! cause is found from logs and metrics alone. A log that nobody reads holds no request up.
 
 use {
-    crate::world::{Act, Client, Fleet, run},
-    shallotdeal::{explain::Story, logs::mesh_log, mesh::runtime::now_us},
-    std::{
-        io::{self, Write},
-        sync::{Arc, Mutex, mpsc},
+    crate::{
+        world::{Act, Client, Fleet, run},
+        writers::{Page, Stalled},
     },
+    shallotdeal::{explain::Story, logs::mesh_log, mesh::runtime::now_us},
+    std::sync::mpsc,
 };
 
-#[derive(Clone, Default)]
-struct Page(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Page {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Runs a test, and gives the lines that all daemons logged meanwhile.
 fn logged(test: impl Future<Output = ()>) -> String {
     let page = Page::default();
     let (log, subscriber) = mesh_log(tracing::Level::INFO, page.clone());
     tracing::subscriber::with_default(subscriber, || run(test));
     drop(log);
-    let bytes = page.0.lock().unwrap().clone();
-    String::from_utf8(bytes).unwrap()
+    page.text()
 }
 
 fn story(id: &str, lines: &str) -> String {
@@ -99,21 +84,6 @@
     assert!(story.contains("took_us=1"), "{story}");
 }
 
-/// A pipe that nobody reads, until its other end is dropped.
-struct Stalled(mpsc::Receiver<()>);
-
-impl Write for Stalled {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        // Ends when the sender is dropped.
-        let _ = self.0.recv();
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Serves requests one after the other, and gives the time of each.
 async fn served_us(fleet: &Fleet, requests: usize) -> Vec<u64> {
     let mut client = Client::connect(&fleet.vms[0]).await;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -6,3 +6,5 @@
 mod requests;
 mod store;
 mod world;
+#[path = "../writers/mod.rs"]
+mod writers;
