--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -4,7 +4,7 @@
 
 use {
     super::{
-        Fleet, MAX_RECEIVED_DIGESTS, MAX_SUSPECTS_BYTES, Peer, level_differs,
+        Fleet, MAX_RECEIVED_DIGESTS, MAX_SUSPECTS_BYTES, NewestConfig, Peer, level_differs,
         member::{Generation, Member, MemberKey, MemberState, Status},
         message::{Body, Message, Outgoing},
         report::Event,
@@ -25,7 +25,7 @@
         if message.generation == self.local.generation {
             return;
         }
-        let is_local = message.data_centre == self.local.place.data_centre;
+        let is_local = self.is_in_scope(&message.data_centre);
         let mut requested_keys = Vec::new();
         let mut new_records = 0;
         if is_local {
@@ -91,7 +91,7 @@
     fn merge_members(&mut self, message: &Message, now_us: u64) -> usize {
         let mut new_records = 0;
         for member in &message.members {
-            if member.place.data_centre != self.local.place.data_centre {
+            if !self.is_in_scope(&member.place.data_centre) {
                 continue;
             }
             if member.place.name == self.local.place.name {
@@ -117,7 +117,7 @@
     ///
     /// A higher generation stems from an earlier incarnation of this daemon whose clock was ahead;
     /// this one then moves to a generation above it.
-    fn refute_if_wrong(
+    pub(super) fn refute_if_wrong(
         &mut self,
         generation: Generation,
         status: Status,
@@ -143,7 +143,7 @@
     }
 
     /// Merges the whole record of a member; returns whether the member was unknown.
-    fn merge_member(&mut self, member: &Member, is_repair: bool, now_us: u64) -> bool {
+    pub(super) fn merge_member(&mut self, member: &Member, is_repair: bool, now_us: u64) -> bool {
         if member.suspects.len() > MAX_SUSPECTS_BYTES {
             return false;
         }
@@ -196,6 +196,17 @@
         let Some(peer) = self.peers.get_mut(key) else {
             return;
         };
+        let revision = state.revision;
+        if self
+            .newest_config
+            .as_ref()
+            .is_none_or(|newest| revision > newest.revision)
+        {
+            self.newest_config = Some(NewestConfig {
+                revision,
+                call_addr: peer.member.place.call_addr,
+            });
+        }
         if state.precedence() <= peer.member.precedence() {
             return;
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -56,9 +56,20 @@
 /// Further digests are dropped; their senders repeat them periodically.
 const MAX_RECEIVED_DIGESTS: usize = 1_024;
 
+/// Daemons that keep records of each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Those of one data centre; other data centres are known by their summaries.
+    DataCentre,
+    /// All daemons. Updates go mostly to members nearby, since traffic between regions is scarce.
+    Deployment,
+}
+
 /// Intervals, timeouts and limits of the membership protocol.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetRules {
+    /// Daemons that keep records of each other.
+    pub scope: Scope,
     /// Interval between probes.
     pub probe_interval_us: u64,
     /// Time without an ack after which a probe is retried through other members.
@@ -88,6 +99,7 @@
 impl Default for FleetRules {
     fn default() -> Self {
         Self {
+            scope: Scope::DataCentre,
             probe_interval_us: 500_000,
             probe_timeout_us: 300_000,
             probe_limit_us: 1_000_000,
@@ -152,6 +164,7 @@
     counters: Counters,
     events: Vec<Event>,
     received_suspects: Vec<Vec<u8>>,
+    newest_config: Option<NewestConfig>,
     rng: ChaCha8Rng,
 }
 
@@ -189,6 +202,7 @@
             counters: Counters::default(),
             events: Vec::new(),
             received_suspects: Vec::new(),
+            newest_config: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         fleet.announce_body();
@@ -230,13 +244,42 @@
     }
 
     /// Announces the configuration in force at this daemon.
+    ///
+    /// Within [`Scope::Deployment`] the revision is sent with acks only: one update of each member
+    /// for each change of the configuration would grow with the square of the fleet.
     pub fn set_revision(&mut self, revision: Revision) {
         if revision > self.local.revision {
             self.local.revision = revision;
-            self.announce_state(Priority::Normal);
+            if self.rules.scope == Scope::DataCentre {
+                self.announce_state(Priority::Normal);
+            }
         }
     }
 
+    /// Returns the newest configuration that another member has reported.
+    pub fn newest_config(&self) -> Option<&NewestConfig> {
+        self.newest_config.as_ref()
+    }
+
+    /// Merges the record of a member that was read from storage.
+    ///
+    /// It may be out of date; probes find out whether its daemon is alive.
+    pub fn merge_stored(&mut self, member: &Member, now_us: u64) {
+        if !self.is_in_scope(&member.place.data_centre) {
+            return;
+        }
+        if member.place.name == self.local.place.name {
+            self.refute_if_wrong(member.generation, member.status, member.version, now_us);
+        } else {
+            self.merge_member(member, true, now_us);
+        }
+    }
+
+    /// Returns whether daemons of a data centre keep records of this daemon.
+    fn is_in_scope(&self, data_centre: &DataCentre) -> bool {
+        self.rules.scope == Scope::Deployment || *data_centre == self.local.place.data_centre
+    }
+
     /// Announces a digest of crash suspects, truncated to [`MAX_SUSPECTS_BYTES`].
     pub fn set_suspects(&mut self, mut suspects: Vec<u8>) {
         suspects.truncate(MAX_SUSPECTS_BYTES);
@@ -422,6 +465,15 @@
     }
 }
 
+/// Newest configuration that another member has reported.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewestConfig {
+    /// Its revision.
+    pub revision: Revision,
+    /// Address for calls to the member.
+    pub call_addr: SocketAddr,
+}
+
 /// Worker of the local data centre that the router may pick.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct MemberWorker<'a> {
--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Fleet,
+        Fleet, Scope,
         member::{Generation, MemberKey, Status},
         message::{Body, Message, Outgoing},
         summary::smooth,
@@ -18,6 +18,15 @@
 /// Maximum number of probes relayed for other members at one time; the oldest is dropped first.
 const MAX_RELAYED_PROBES: usize = 64;
 
+/// Number of draws of a gossip target within [`Scope::Deployment`] that the shares below refer to.
+const NEARBY_DRAWS: usize = 8;
+
+/// Draws that select a member of the own data centre.
+const NEARBY_DRAWS_IN_CENTRE: usize = 4;
+
+/// Draws that select a member of the own data centre or region; the others select any member.
+const NEARBY_DRAWS_IN_REGION: usize = 7;
+
 /// What a probe checks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Target {
@@ -266,7 +275,7 @@
     fn acknowledge(&mut self, message: &Message, sequence: u32, out: &mut Vec<Outgoing>) {
         let origin = self.local.generation;
         let mut ack = self.message(Body::Ack { sequence, origin });
-        if message.data_centre == self.local.place.data_centre {
+        if self.is_in_scope(&message.data_centre) {
             ack.states.push(self.local.state());
             let key = self.by_generation.get(&message.generation.0).copied();
             self.piggyback(&mut ack, key);
@@ -303,7 +312,7 @@
                 self.record_ack(key, now_us, (!probe.relayed).then_some(rtt_us));
             }
             Target::Member(..) => self.probes.outstanding.push(probe),
-            Target::Contact if *data_centre == self.local.place.data_centre => {
+            Target::Contact if self.is_in_scope(data_centre) => {
                 self.timers.schedule_sync(now_us);
             }
             Target::Contact => self.remote.record_rtt(data_centre, rtt_us),
@@ -332,7 +341,7 @@
     ) {
         let mut members = self.peers.values().map(|peer| &peer.member);
         let is_known = members.any(|member| member.place.gossip_addr == target);
-        if !is_known || message.data_centre != self.local.place.data_centre {
+        if !is_known || !self.is_in_scope(&message.data_centre) {
             return;
         }
         let sequence = self.probes.next_sequence();
@@ -354,6 +363,35 @@
         self.ping(to, Some(key), Target::Contact, true, now_us, out);
     }
 
+    /// Draws the live members that receive the updates of one gossip round.
+    pub(super) fn gossip_targets(&mut self) -> Vec<MemberKey> {
+        let fanout = self.rules.gossip_fanout;
+        match self.rules.scope {
+            Scope::DataCentre => self.random_live_peers(fanout, None),
+            Scope::Deployment => (0..fanout)
+                .filter_map(|_| self.random_peer_nearby())
+                .collect(),
+        }
+    }
+
+    /// Draws a live member, preferably of this data centre, less often of this region, and rarely
+    /// from anywhere.
+    fn random_peer_nearby(&mut self) -> Option<MemberKey> {
+        let draw = self.random_below(NEARBY_DRAWS);
+        let keys = self.random_live_peers(usize::MAX, None);
+        let own = &self.local.place;
+        let is_near = |key: &MemberKey| {
+            let place = &self.peers[*key].member.place;
+            if draw < NEARBY_DRAWS_IN_CENTRE {
+                place.data_centre == own.data_centre
+            } else {
+                draw < NEARBY_DRAWS_IN_REGION && place.region == own.region
+            }
+        };
+        let near = keys.iter().copied().find(is_near);
+        near.or_else(|| keys.first().copied())
+    }
+
     /// Draws up to `count` distinct random live members, leaving out `except`.
     pub(super) fn random_live_peers(
         &mut self,
@@ -361,7 +399,7 @@
         except: Option<MemberKey>,
     ) -> Vec<MemberKey> {
         let mut pool = mem::take(&mut self.probes.pool);
-        let mut chosen = Vec::with_capacity(count);
+        let mut chosen = Vec::with_capacity(count.min(pool.len()));
         let mut at = 0;
         while at < pool.len() && chosen.len() < count {
             let other = at + self.random_below(pool.len() - at);
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -131,7 +131,7 @@
 
     /// Sends queued updates to a few random members.
     pub(super) fn gossip_round(&mut self, _now_us: u64, out: &mut Vec<Outgoing>) {
-        for key in self.random_live_peers(self.rules.gossip_fanout, None) {
+        for key in self.gossip_targets() {
             if self.updates.len() == 0 {
                 return;
             }
@@ -197,7 +197,7 @@
         if digest.bits > MAX_BITS {
             return;
         }
-        let is_local = message.data_centre == self.local.place.data_centre;
+        let is_local = self.is_in_scope(&message.data_centre);
         let mut newer = Vec::new();
         for (key, precedence) in &digest.entries {
             match self.held_precedence(*key, is_local) {
--- a/src/mesh/crash.rs
+++ b/src/mesh/crash.rs
@@ -10,17 +10,15 @@
     crate::{
         mesh::{
             Mesh,
-            frame::{Call, Message, WorkerIncarnation},
+            frame::{Call, Message},
             runtime::{detach, now_unix_ms, now_us, sleep_ms},
         },
         policy::suspect::{CrashSuspects, Fingerprint, SuspectLimits, SuspectVerdict},
         request::{Incarnation, ServiceName},
     },
-    foldhash::quality::FixedState,
     std::{
         cell::{Cell, RefCell},
         collections::VecDeque,
-        hash::BuildHasher,
         rc::Rc,
     },
 };
@@ -39,10 +37,6 @@
 /// Largest number of crash records in one broadcast.
 const MAX_BROADCAST_CRASHES: usize = 512;
 
-/// Seed of the hash that maps a [`WorkerIncarnation`] to an [`Incarnation`]; all daemons use the
-/// same one.
-const INCARNATION_SEED: u64 = 0x6c69_6665;
-
 /// Crash suspects known to this daemon, and recently interrupted requests.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -91,11 +85,11 @@
     /// Checks in the background whether a worker that interrupted a request has crashed. It is
     /// alive if it answers another request in the meantime. Otherwise a connection attempt decides;
     /// a successful connection is kept for the next request.
-    pub(super) fn check_worker_alive(self: &Rc<Self>, incarnation: &WorkerIncarnation) {
+    pub(super) fn check_worker_alive(self: &Rc<Self>, incarnation: Incarnation) {
         if self.crashes.is_checking.replace(true) {
             return;
         }
-        let (mesh, incarnation, interrupted_us) = (Rc::clone(self), incarnation.clone(), now_us());
+        let (mesh, interrupted_us) = (Rc::clone(self), now_us());
         detach("check worker", async move {
             sleep_ms(ALIVE_CHECK_DELAY_MS).await;
             mesh.crashes.is_checking.set(false);
@@ -103,14 +97,14 @@
                 return;
             }
             if let Err(cause) = mesh.pool.preconnect(mesh.settings.worker_addr).await {
-                mesh.mark_worker_down(&incarnation, &cause);
+                mesh.mark_worker_down(incarnation, &cause);
             }
         });
     }
 
     /// Marks the requests that the worker interrupted shortly before it was found down as crash
     /// suspects.
-    pub(super) fn suspect_interrupted(&self, incarnation: &WorkerIncarnation) {
+    pub(super) fn suspect_interrupted(&self, incarnation: Incarnation) {
         let now_us = now_us();
         let interrupted = std::mem::take(&mut *self.crashes.interrupted.borrow_mut());
         let recent = interrupted
@@ -125,7 +119,7 @@
         tracing::warn!(worker = %incarnation, requests = blamed.len(),
             "requests blamed for a crash");
         let mut suspects = self.crashes.suspects.borrow_mut();
-        suspects.record_crash(incarnation_hash(incarnation), blamed, now_unix_ms());
+        suspects.record_crash(incarnation, blamed, now_unix_ms());
         drop(suspects);
         self.broadcast_crashes();
     }
@@ -158,8 +152,3 @@
         self.broadcast(&Message::Crashes(crashes));
     }
 }
-
-fn incarnation_hash(incarnation: &WorkerIncarnation) -> Incarnation {
-    let hasher = FixedState::with_seed(INCARNATION_SEED);
-    Incarnation(hasher.hash_one((incarnation.id.as_str(), incarnation.started_unix_ms)))
-}
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -4,7 +4,7 @@
     crate::{
         logs::DroppedLines,
         mesh::{
-            Mesh, Parts, ingress, peers, ports,
+            Mesh, Parts, gossip, ingress, peers, ports,
             protocol::{PlatformStore, Protocol},
             registry,
             runtime::{self, now_us, sleep_ms},
@@ -118,7 +118,12 @@
             ports::listen(Rc::clone(mesh), settings.metrics_addr),
         ),
         background_task("own entry", registry::maintain_entry(Rc::clone(mesh))),
-        background_task("entries", registry::watch_entries(Rc::clone(mesh))),
+        background_task("contacts", registry::watch_contacts(Rc::clone(mesh))),
+        listener_task("gossip", gossip::run(Rc::clone(mesh))),
+        background_task(
+            "peers' configuration",
+            gossip::fetch_config(Rc::clone(mesh)),
+        ),
         background_task("configuration", registry::watch_config(Rc::clone(mesh))),
         background_task("sweep", registry::sweep(Rc::clone(mesh))),
         background_task("gate", tick(Rc::clone(mesh))),
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -9,14 +9,14 @@
 use {
     crate::{
         collections::HashMap,
-        mesh::frame::{GateLoad, WorkerIncarnation},
+        fleet::member::{Member, Status},
+        mesh::frame::GateLoad,
         place::{DataCentre, Region},
         policy::ewma::sample_weight,
-        request::ServiceName,
+        request::{Incarnation, ServiceName},
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     smallvec::SmallVec,
     smol_str::SmolStr,
@@ -25,7 +25,7 @@
 
 new_key_type! {
     /// Key of one VM's worker.
-    pub struct MemberKey;
+    pub struct WorkerKey;
 }
 
 /// Penalty for a worker in another data centre: the extra time that is accepted to keep a request
@@ -80,51 +80,6 @@
 /// Relative noise on each estimate, so that daemons with the same view choose different workers.
 const NOISE: f64 = 0.05;
 
-/// State of a VM's worker, as its daemon publishes it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Announcement {
-    /// Name of the VM.
-    pub vm: SmolStr,
-    /// Start time of the daemon; announcements of a later incarnation replace all earlier ones.
-    #[serde(rename = "daemon_born_unix_ms")]
-    pub daemon_started_unix_ms: u64,
-    /// Sequence number within the incarnation of the daemon.
-    pub sequence: u64,
-    /// Address for calls from other daemons.
-    pub addr: SocketAddr,
-    /// Data centre.
-    pub data_centre: DataCentre,
-    /// Region.
-    pub region: Region,
-    /// Worker that accepts requests, if there is one.
-    pub worker: Option<WorkerState>,
-    /// Worker incarnations whose departure the daemon has recently acknowledged. The next
-    /// incarnation of the VM's daemon reads them from here, as the acknowledgement binds it too.
-    #[serde(default, rename = "left")]
-    pub departed: Vec<WorkerIncarnation>,
-}
-
-impl Announcement {
-    /// Sort key among the announcements of one VM.
-    pub fn order(&self) -> (u64, u64) {
-        (self.daemon_started_unix_ms, self.sequence)
-    }
-}
-
-/// Worker that accepts requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct WorkerState {
-    /// Incarnation.
-    #[serde(rename = "life")]
-    pub incarnation: WorkerIncarnation,
-    /// Service that it belongs to.
-    pub service: ServiceName,
-    /// Number of requests that it can run concurrently, as it reports.
-    pub slots: u32,
-}
-
 /// Outcome of a send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendOutcome {
@@ -154,9 +109,9 @@
 
 /// Worker of one VM, with the load, latency and failures observed by this daemon.
 #[derive(Debug)]
-pub struct Member {
-    /// Latest announcement of its daemon.
-    pub announcement: Announcement,
+pub struct KnownWorker {
+    /// Latest record of its daemon.
+    pub member: Member,
     load: GateLoad,
     load_at_us: u64,
     outstanding: u32,
@@ -167,20 +122,20 @@
     failure_at_us: u64,
     unreachable_until_us: u64,
     /// Incarnation that its gate has refused to serve.
-    refused_incarnation: Option<WorkerIncarnation>,
+    refused_incarnation: Option<Incarnation>,
 }
 
 /// Worker chosen for a request.
 #[derive(Debug, Clone)]
 pub struct Choice {
     /// Key, to report the outcome of the send.
-    pub key: MemberKey,
+    pub key: WorkerKey,
     /// Address of its daemon.
     pub addr: SocketAddr,
     /// Name of its VM.
     pub vm: SmolStr,
     /// Incarnation.
-    pub incarnation: WorkerIncarnation,
+    pub incarnation: Incarnation,
 }
 
 /// All known workers.
@@ -188,9 +143,9 @@
 pub struct Directory {
     data_centre: DataCentre,
     region: Region,
-    members: SlotMap<MemberKey, Member>,
-    by_vm: HashMap<SmolStr, MemberKey>,
-    by_service: HashMap<ServiceName, Vec<MemberKey>>,
+    members: SlotMap<WorkerKey, KnownWorker>,
+    by_vm: HashMap<SmolStr, WorkerKey>,
+    by_service: HashMap<ServiceName, Vec<WorkerKey>>,
     rng: ChaCha8Rng,
 }
 
@@ -207,44 +162,36 @@
         }
     }
 
-    /// Applies an announcement; returns whether it was newer than the known one.
-    pub fn apply_announcement(&mut self, announcement: Announcement) -> bool {
-        let known = self.by_vm.get(&announcement.vm).copied();
-        let known_member = known.and_then(|key| self.members.get(key));
-        if known_member.is_some_and(|member| member.announcement.order() >= announcement.order()) {
-            return false;
-        }
-        let service = announcement
+    /// Applies the latest record of a member.
+    pub fn apply_member(&mut self, member: &Member) {
+        let service = member
             .worker
             .as_ref()
+            .filter(|worker| !worker.draining)
             .map(|worker| worker.service.clone());
-        let key = if let Some(key) = known {
+        let key = if let Some(key) = self.by_vm.get(&member.place.name).copied() {
             self.remove_from_services(key);
-            self.members[key].apply_announcement(announcement);
+            self.members[key].apply_member(member);
             key
         } else {
-            let vm = announcement.vm.clone();
-            let key = self.members.insert(Member::new(announcement));
-            self.by_vm.insert(vm, key);
+            let key = self.members.insert(KnownWorker::new(member.clone()));
+            self.by_vm.insert(member.place.name.clone(), key);
             key
         };
         if let Some(service) = service {
             self.by_service.entry(service).or_default().push(key);
         }
-        true
     }
 
-    /// Removes a VM; returns whether it was known.
-    pub fn remove(&mut self, vm: &str) -> bool {
-        let Some(key) = self.by_vm.remove(vm) else {
-            return false;
-        };
-        self.remove_from_services(key);
-        self.members.remove(key);
-        true
+    /// Removes a VM.
+    pub fn remove(&mut self, vm: &str) {
+        if let Some(key) = self.by_vm.remove(vm) {
+            self.remove_from_services(key);
+            self.members.remove(key);
+        }
     }
 
-    fn remove_from_services(&mut self, key: MemberKey) {
+    fn remove_from_services(&mut self, key: WorkerKey) {
         for keys in self.by_service.values_mut() {
             keys.retain(|listed| *listed != key);
         }
@@ -254,7 +201,7 @@
     pub fn choose(
         &mut self,
         service: &str,
-        tried: &[WorkerIncarnation],
+        tried: &[Incarnation],
         reach: Reach,
         now_us: u64,
     ) -> Option<Choice> {
@@ -264,7 +211,7 @@
             count if count > MAX_CANDIDATES => self.rng.random_range(0..count),
             _ => 0,
         };
-        let candidates: SmallVec<[MemberKey; MAX_CANDIDATES]> = keys
+        let candidates: SmallVec<[WorkerKey; MAX_CANDIDATES]> = keys
             .iter()
             .cycle()
             .skip(first)
@@ -273,12 +220,12 @@
             .filter(|key| {
                 let member = &self.members[*key];
                 let is_out_of_reach =
-                    reach == Reach::Region && member.announcement.region != self.region;
+                    reach == Reach::Region && member.member.place.region != self.region;
                 !is_out_of_reach && member.is_usable(tried)
             })
             .collect();
         let baseline_us = self.lowest_latency_us(&candidates);
-        let mut best: Option<(f64, MemberKey)> = None;
+        let mut best: Option<(f64, WorkerKey)> = None;
         for key in candidates {
             let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
             let member = &self.members[key];
@@ -290,17 +237,17 @@
         }
         let (_, key) = best?;
         let member = &self.members[key];
-        let worker = member.announcement.worker.as_ref()?;
+        let worker = member.member.worker.as_ref()?;
         Some(Choice {
             key,
-            addr: member.announcement.addr,
-            vm: member.announcement.vm.clone(),
-            incarnation: worker.incarnation.clone(),
+            addr: member.member.place.call_addr,
+            vm: member.member.place.name.clone(),
+            incarnation: worker.incarnation,
         })
     }
 
     /// Lowest known latency among these workers, used for workers without recent data.
-    fn lowest_latency_us(&self, keys: &[MemberKey]) -> f64 {
+    fn lowest_latency_us(&self, keys: &[WorkerKey]) -> f64 {
         let latencies = keys.iter().map(|key| self.members[*key].known_latency_us());
         let lowest_us = latencies
             .filter(|us| *us > 0.0)
@@ -312,10 +259,10 @@
         }
     }
 
-    fn distance_penalty_us(&self, member: &Member) -> f64 {
-        if member.announcement.data_centre == self.data_centre {
+    fn distance_penalty_us(&self, member: &KnownWorker) -> f64 {
+        if member.member.place.data_centre == self.data_centre {
             0.0
-        } else if member.announcement.region == self.region {
+        } else if member.member.place.region == self.region {
             CROSS_CENTRE_PENALTY_US
         } else {
             CROSS_REGION_PENALTY_US
@@ -331,7 +278,7 @@
             let members = keys.iter().map(|key| &self.members[*key]);
             members.filter(|member| member.is_usable(&[]) && now_us >= member.unreachable_until_us)
         };
-        let load = |is_near: &dyn Fn(&Member) -> bool| {
+        let load = |is_near: &dyn Fn(&KnownWorker) -> bool| {
             usable().filter(|member| is_near(member)).fold(
                 (0.0, 0.0),
                 |(requests, capacity), member| {
@@ -342,7 +289,7 @@
                 },
             )
         };
-        let (requests, capacity) = match load(&|member| member.announcement.region == self.region) {
+        let (requests, capacity) = match load(&|member| member.member.place.region == self.region) {
             (_, 0.0) => load(&|_| true),
             near => near,
         };
@@ -353,7 +300,7 @@
     }
 
     /// Records that a request was sent to a worker.
-    pub fn record_send(&mut self, key: MemberKey) {
+    pub fn record_send(&mut self, key: WorkerKey) {
         if let Some(member) = self.members.get_mut(key) {
             member.outstanding += 1;
             member.sent_since_report += 1;
@@ -363,7 +310,7 @@
     /// Records the outcome of a send, with the load that the gate reported.
     pub fn record_outcome(
         &mut self,
-        key: MemberKey,
+        key: WorkerKey,
         outcome: SendOutcome,
         load: Option<GateLoad>,
         now_us: u64,
@@ -374,17 +321,12 @@
     }
 
     /// Records that a gate does not, or no longer, serve this incarnation of its worker.
-    pub fn mark_refused(&mut self, key: MemberKey, incarnation: &WorkerIncarnation) {
+    pub fn mark_refused(&mut self, key: WorkerKey, incarnation: Incarnation) {
         if let Some(member) = self.members.get_mut(key) {
-            member.refused_incarnation = Some(incarnation.clone());
+            member.refused_incarnation = Some(incarnation);
         }
     }
 
-    /// All announcements.
-    pub fn announcements(&self) -> impl Iterator<Item = &Announcement> {
-        self.members.values().map(|member| &member.announcement)
-    }
-
     /// Number of workers that accept requests for a service.
     pub fn workers(&self, service: &str) -> usize {
         self.by_service.get(service).map_or(0, Vec::len)
@@ -401,10 +343,10 @@
     }
 }
 
-impl Member {
-    fn new(announcement: Announcement) -> Self {
+impl KnownWorker {
+    fn new(member: Member) -> Self {
         Self {
-            announcement,
+            member,
             load: GateLoad::default(),
             load_at_us: 0,
             outstanding: 0,
@@ -418,23 +360,17 @@
         }
     }
 
-    /// Applies a newer announcement; a new incarnation of the worker resets all observations except
-    /// the outstanding sends.
-    fn apply_announcement(&mut self, announcement: Announcement) {
-        let incarnation = |announcement: &Announcement| {
-            announcement
-                .worker
-                .as_ref()
-                .map(|worker| worker.incarnation.clone())
-        };
-        let is_same = incarnation(&announcement) == incarnation(&self.announcement);
-        let is_same_daemon =
-            announcement.daemon_started_unix_ms == self.announcement.daemon_started_unix_ms;
+    /// Applies a newer record; a new incarnation of the worker resets all observations except the
+    /// outstanding sends.
+    fn apply_member(&mut self, member: &Member) {
+        let incarnation = |member: &Member| member.worker.as_ref().map(|worker| worker.incarnation);
+        let is_same = incarnation(member) == incarnation(&self.member);
+        let is_same_daemon = member.generation == self.member.generation;
         let outstanding = self.outstanding;
         if is_same {
-            self.announcement = announcement;
+            self.member = member.clone();
         } else {
-            *self = Self::new(announcement);
+            *self = Self::new(member.clone());
             self.outstanding = outstanding;
         }
         if !is_same_daemon {
@@ -443,12 +379,11 @@
         }
     }
 
-    fn is_usable(&self, tried: &[WorkerIncarnation]) -> bool {
-        let Some(worker) = &self.announcement.worker else {
+    fn is_usable(&self, tried: &[Incarnation]) -> bool {
+        let Some(worker) = &self.member.worker else {
             return false;
         };
-        !tried.contains(&worker.incarnation)
-            && self.refused_incarnation.as_ref() != Some(&worker.incarnation)
+        !tried.contains(&worker.incarnation) && self.refused_incarnation != Some(worker.incarnation)
     }
 
     fn failure_share(&self, now_us: u64) -> f64 {
@@ -458,7 +393,7 @@
 
     /// Number of requests that may run on the worker concurrently.
     fn limit(&self) -> f64 {
-        let worker = self.announcement.worker.as_ref();
+        let worker = self.member.worker.as_ref();
         let slots = worker.map_or(1, |worker| worker.slots.max(1));
         match self.load.limit {
             0 => f64::from(slots),
@@ -514,7 +449,7 @@
         let full_share = ((utilisation - NEARLY_FULL_SHARE) / (1.0 - NEARLY_FULL_SHARE)).max(0.0);
         let mut cost_us = work_us + wait_us + full_share * FULL_PENALTY_US;
         cost_us += self.failure_share(now_us) * FAILURE_COST_US;
-        if now_us < self.unreachable_until_us {
+        if now_us < self.unreachable_until_us || self.member.status == Status::Suspect {
             cost_us += FAILURE_COST_US;
         }
         cost_us
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -6,13 +6,15 @@
 
 use {
     crate::{
-        mesh::{conn::Conn, directory::Announcement},
+        mesh::conn::Conn,
         policy::suspect::CrashRecord,
-        request::{Importance, Refusal, ServiceName},
+        request::{Importance, Incarnation, Refusal, ServiceName},
     },
     derive_more::{Display, Error},
+    foldhash::quality::FixedState,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
+    std::hash::BuildHasher,
 };
 
 /// Length of the prefix, which holds the lengths of the message and of the payload.
@@ -24,6 +26,9 @@
 /// Largest payload: a body of the largest allowed size, and its head.
 const MAX_PAYLOAD_BYTES: usize = (64 << 20) + (1 << 20);
 
+/// Seed of the hash that maps a [`WorkerIncarnation`] to an [`Incarnation`].
+const INCARNATION_SEED: u64 = 0x6c69_6665;
+
 /// Error while reading a frame.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Display, Error)]
@@ -56,6 +61,14 @@
     pub started_unix_ms: u64,
 }
 
+impl WorkerIncarnation {
+    /// Number of this incarnation, the same at all daemons.
+    pub fn number(&self) -> Incarnation {
+        let hasher = FixedState::with_seed(INCARNATION_SEED);
+        Incarnation(hasher.hash_one((self.id.as_str(), self.started_unix_ms)))
+    }
+}
+
 /// Request for a worker. The payload holds the request line, the fields and the body.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -67,7 +80,7 @@
     /// Service that the request is for.
     pub service: ServiceName,
     /// Only worker incarnation that may run the request.
-    pub worker: WorkerIncarnation,
+    pub worker: Incarnation,
     /// Service of the worker beside the daemon that sends the call.
     pub caller_service: ServiceName,
     /// Importance at the gate.
@@ -170,8 +183,6 @@
     ConfigWanted,
     /// Configuration document, as payload.
     Config,
-    /// State of a daemon and its worker.
-    Announce(Announcement),
     /// Crash suspects: requests that were in flight when a worker crashed.
     Crashes(Vec<CrashRecord>),
 }
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         collections::HashMap,
+        fleet::member::AdvertisedWorker,
         mesh::{
             Mesh,
-            directory::WorkerState,
             frame::{Call, CallResult, GateLoad, Reply, ServiceLoad, WorkerIncarnation},
             http,
             pool::{ExchangeError, ExchangeErrorKind, WorkerAnswer},
@@ -13,7 +13,7 @@
             runtime::{now_us, sleep_until},
         },
         policy::gate::{Arrival, Finish, Gate, GateDecision, WorkKey},
-        request::{Importance, Rank, Reason, Refusal, ServiceName},
+        request::{Importance, Incarnation, Level, Rank, Reason, Refusal, ServiceName},
         waiting::{DecisionReceiver, GateWaiters},
     },
     futures::future::{Either, select},
@@ -119,14 +119,23 @@
     }
 
     /// State of the worker as published to peers; `None` while it accepts no requests.
-    pub fn worker_state(&self) -> Option<WorkerState> {
-        self.serving().map(|report| WorkerState {
-            incarnation: report.incarnation.clone(),
+    pub fn worker_state(&self) -> Option<AdvertisedWorker> {
+        self.serving().map(|report| AdvertisedWorker {
+            incarnation: report.incarnation.number(),
             service: report.service.clone(),
             slots: report.slots,
+            load: 0,
+            level: Level::OPEN,
+            draining: false,
         })
     }
 
+    /// Id of the worker if it is this incarnation.
+    fn worker_id(&self, incarnation: Incarnation) -> Option<SmolStr> {
+        let known = &self.worker.as_ref()?.report.incarnation;
+        (known.number() == incarnation).then(|| known.id.clone())
+    }
+
     /// Applies a report of the local worker.
     pub fn report(&mut self, report: WorkerReport, now_us: u64) -> Change {
         if self.has_departed(&report.incarnation) {
@@ -250,11 +259,11 @@
     }
 
     /// Marks the worker as down; returns whether it was up before.
-    fn mark_down(&mut self, incarnation: &WorkerIncarnation, now_us: u64) -> bool {
+    fn mark_down(&mut self, incarnation: Incarnation, now_us: u64) -> bool {
         let Some(worker) = &mut self.worker else {
             return false;
         };
-        if worker.report.incarnation != *incarnation || worker.is_down {
+        if worker.report.incarnation.number() != incarnation || worker.is_down {
             return false;
         }
         worker.is_down = true;
@@ -314,7 +323,7 @@
 
     fn offer(&mut self, call: &Call, deadline_us: u64, now_us: u64) -> Result<GateEntry, Refusal> {
         let is_served = self.serving().is_some_and(|report| {
-            report.incarnation == call.worker && report.service == call.service
+            report.incarnation.number() == call.worker && report.service == call.service
         });
         if !is_served {
             return Err(Refusal::not_run(Reason::Draining));
@@ -449,6 +458,10 @@
         if deadline_us <= now_us {
             return self.refusal_reply(call, Refusal::not_run(Reason::Deadline), false);
         }
+        let worker_id = self.gate.borrow().worker_id(call.worker);
+        let Some(worker_id) = worker_id else {
+            return self.refusal_reply(call, Refusal::not_run(Reason::Draining), false);
+        };
         let running = Running {
             root_importance: call.root_importance,
             bucket: call.bucket,
@@ -461,7 +474,8 @@
             .running
             .insert(call.attempt_id.clone(), running);
         slot.attempt_id = Some(call.attempt_id.clone());
-        let request = self.worker_request(call, payload, (deadline_us - now_us) / 1_000);
+        let remaining_ms = (deadline_us - now_us) / 1_000;
+        let request = self.worker_request(call, payload, &worker_id, remaining_ms);
         let is_head_request = payload.starts_with(b"HEAD ");
         let addr = self.settings.worker_addr;
         let exchange = pin!(
@@ -497,13 +511,19 @@
     }
 
     /// Encodes the request that is sent to the worker.
-    fn worker_request(&self, call: &Call, payload: &[u8], remaining_ms: u64) -> Vec<u8> {
+    fn worker_request(
+        &self,
+        call: &Call,
+        payload: &[u8],
+        worker_id: &str,
+        remaining_ms: u64,
+    ) -> Vec<u8> {
         let (head, body) = payload.split_at((call.head_bytes as usize).min(payload.len()));
         let mut request = Vec::with_capacity(payload.len() + 256);
         request.extend_from_slice(head);
         let context = RequestContext {
             remaining_ms,
-            worker_id: &call.worker.id,
+            worker_id,
             caller_service: &call.caller_service,
         };
         self.protocol.write_request_context(&mut request, context);
@@ -526,7 +546,7 @@
         let metadata = self.protocol.answer_metadata(&answer.head);
         if metadata.is_other_worker {
             slot.finish = Finish::Cancelled;
-            self.mark_worker_down(&call.worker, "another worker answers at its address");
+            self.mark_worker_down(call.worker, "another worker answers at its address");
             return self.refusal_reply(call, Refusal::not_run(Reason::Unreachable), true);
         }
         slot.finish = if metadata.is_not_run {
@@ -560,10 +580,10 @@
         self.metrics.count("worker.broken");
         if error.kind == ExchangeErrorKind::ConnectionLost {
             self.crashes.record_interrupted(call);
-            self.check_worker_alive(&call.worker);
+            self.check_worker_alive(call.worker);
         }
         if error.kind == ExchangeErrorKind::NoConnection {
-            self.mark_worker_down(&call.worker, &error.detail);
+            self.mark_worker_down(call.worker, &error.detail);
         }
         let refusal = if error.may_have_run {
             Refusal::unknown(Reason::Broken)
@@ -573,7 +593,7 @@
         self.refusal_reply(call, refusal, error.may_have_run)
     }
 
-    pub(super) fn mark_worker_down(self: &Rc<Self>, incarnation: &WorkerIncarnation, cause: &str) {
+    pub(super) fn mark_worker_down(self: &Rc<Self>, incarnation: Incarnation, cause: &str) {
         if self.gate.borrow_mut().mark_down(incarnation, now_us()) {
             tracing::warn!(worker = %incarnation, cause, "worker lost");
             self.metrics.count("worker.lost");
--- /dev/null
+++ b/src/mesh/gossip.rs
@@ -0,0 +1,188 @@
+//! Gossip membership of the daemons over UDP, see [`crate::fleet`], and its effect on the directory
+//! of workers.
+
+use {
+    crate::{
+        fleet::{
+            Fleet, FleetRules, NewestConfig, Scope,
+            member::{AdvertisedWorker, Member},
+            message::{MAX_DATAGRAM_BYTES, Message, Outgoing},
+            report::Event,
+        },
+        mesh::{
+            Mesh, frame,
+            runtime::{now_us, sleep_ms},
+        },
+    },
+    std::{io, rc::Rc},
+    tokio::net::UdpSocket,
+};
+
+/// Interval between ticks.
+const TICK_MS: u64 = 50;
+
+/// Buffer for one received datagram; longer ones are truncated and then malformed.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// Delay after a failed receive. It concerns a datagram that a closed port has rejected.
+const RECEIVE_RETRY_MS: u64 = 20;
+
+/// Interval at which the configuration in force is compared with those of the peers.
+const CONFIG_CHECK_MS: u64 = 250;
+
+/// Number of consecutive checks that have to find a newer configuration before it is fetched from a
+/// peer. The watch of the store usually delivers it sooner.
+const CONFIG_CHECKS: u32 = 2;
+
+/// Rules of the membership protocol on the platform.
+pub fn rules() -> FleetRules {
+    FleetRules {
+        scope: Scope::Deployment,
+        ..FleetRules::default()
+    }
+}
+
+/// Exchanges datagrams with the other daemons until the socket fails.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn run(mesh: Rc<Mesh>) -> io::Result<()> {
+    let socket = UdpSocket::bind(mesh.settings.calls_addr).await?;
+    let receiving = std::pin::pin!(receive(&mesh, &socket));
+    let ticking = std::pin::pin!(tick(&mesh, &socket));
+    futures::future::select(receiving, ticking).await;
+    Ok(())
+}
+
+async fn receive(mesh: &Rc<Mesh>, socket: &UdpSocket) {
+    let mut buffer = vec![0; RECEIVE_BYTES];
+    loop {
+        let (size_bytes, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::debug!(%error, "receiving a datagram failed");
+                mesh.metrics.count("gossip.receive_errors");
+                sleep_ms(RECEIVE_RETRY_MS).await;
+                continue;
+            }
+        };
+        let message = match Message::decode(&buffer[..size_bytes]) {
+            Ok(message) => message,
+            Err(error) => {
+                tracing::debug!(%from, %error, "malformed datagram ignored");
+                mesh.metrics.count("gossip.malformed");
+                continue;
+            }
+        };
+        let now_us = now_us();
+        mesh.startup.borrow_mut().record_contact(now_us);
+        let out = mesh.update_fleet(|fleet, out| fleet.receive(&message, now_us, out));
+        send(mesh, socket, out).await;
+    }
+}
+
+async fn tick(mesh: &Rc<Mesh>, socket: &UdpSocket) {
+    loop {
+        let out = mesh.update_fleet(|fleet, out| fleet.tick(now_us(), out));
+        send(mesh, socket, out).await;
+        sleep_ms(TICK_MS).await;
+    }
+}
+
+async fn send(mesh: &Mesh, socket: &UdpSocket, out: Vec<Outgoing>) {
+    for Outgoing { to, message } in out {
+        let bytes = message.encode();
+        if bytes.is_empty() || bytes.len() > MAX_DATAGRAM_BYTES {
+            tracing::warn!(%to, bytes = bytes.len(), "datagram of invalid size not sent");
+            continue;
+        }
+        if let Err(error) = socket.send_to(&bytes, to).await {
+            tracing::debug!(%to, %error, "sending a datagram failed");
+            mesh.metrics.count("gossip.send_errors");
+        }
+    }
+}
+
+/// Fetches a newer configuration from a peer that has it, for a daemon that the store does not
+/// serve or whose store has come back from an older copy.
+pub async fn fetch_config(mesh: Rc<Mesh>) {
+    let mut checks = 0;
+    loop {
+        sleep_ms(CONFIG_CHECK_MS).await;
+        let newest = mesh.fleet.borrow().newest_config().cloned();
+        let Some(newest) = newest.filter(|newest| newest.revision.0 > mesh.config_version().0)
+        else {
+            checks = 0;
+            continue;
+        };
+        checks += 1;
+        if checks < CONFIG_CHECKS && mesh.is_ready() {
+            continue;
+        }
+        let NewestConfig {
+            revision,
+            call_addr,
+        } = newest;
+        tracing::info!(version = revision.0, peer = %call_addr, "fetching a newer configuration");
+        let link = mesh.link(call_addr);
+        if let Err(error) = link.notify(&mesh, &frame::Message::ConfigWanted).await {
+            tracing::info!(%error, "fetching the configuration failed");
+        }
+    }
+}
+
+impl Mesh {
+    /// Applies a change to the membership, updates the directory by its events, and returns the
+    /// datagrams to send.
+    pub(super) fn update_fleet(
+        &self,
+        change: impl FnOnce(&mut Fleet, &mut Vec<Outgoing>),
+    ) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        let mut fleet = self.fleet.borrow_mut();
+        change(&mut fleet, &mut out);
+        let events = fleet.take_events();
+        if events.is_empty() {
+            return out;
+        }
+        let mut directory = self.directory.borrow_mut();
+        for event in events {
+            tracing::info!("{event}");
+            let (Event::Joined { name }
+            | Event::Suspected { name }
+            | Event::Refuted { name }
+            | Event::Died { name }
+            | Event::Left { name }
+            | Event::WorkerChanged { name, .. }) = event
+            else {
+                continue;
+            };
+            match fleet.member(&name) {
+                Some(member) if member.status.is_live() => directory.apply_member(member),
+                _ => directory.remove(&name),
+            }
+        }
+        out
+    }
+
+    /// Publishes the state of the local worker if it has changed.
+    pub fn publish(&self) {
+        let state = self.gate.borrow().worker_state();
+        let worker = state.or_else(|| {
+            let known = self.fleet.borrow().local_member().worker.clone();
+            known.map(|worker| AdvertisedWorker {
+                draining: true,
+                ..worker
+            })
+        });
+        // The datagrams follow with the next tick.
+        let _ = self.update_fleet(|fleet, _| fleet.set_worker(worker));
+        self.directory.borrow_mut().apply_member(&self.own_member());
+    }
+
+    /// Record of this daemon.
+    pub fn own_member(&self) -> Member {
+        self.fleet.borrow().local_member().clone()
+    }
+}
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -191,6 +191,21 @@
         })
     }
 
+    /// Connects if necessary and queues a message. Delivery is not guaranteed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon cannot be reached.
+    pub async fn notify(
+        self: &Rc<Self>,
+        mesh: &Rc<Mesh>,
+        message: &Message,
+    ) -> Result<(), LinkError> {
+        let session = self.session(mesh).await?;
+        session.outbox.push(message, &[]);
+        Ok(())
+    }
+
     /// Queues a message if the link is connected, and returns whether it is. Delivery is not
     /// guaranteed.
     pub fn send_if_connected(&self, message: &Message) -> bool {
@@ -201,13 +216,6 @@
         })
     }
 
-    /// Time since the last frame from the daemon, in microseconds; `None` without a connection.
-    pub fn silence_us(&self, now_us: u64) -> Option<u64> {
-        let session = self.session.borrow();
-        let last_received_us = session.as_ref()?.last_received_us.get();
-        Some(now_us.saturating_sub(last_received_us))
-    }
-
     async fn session(self: &Rc<Self>, mesh: &Rc<Mesh>) -> Result<Rc<Session>, LinkError> {
         loop {
             if let Some(session) = self.session.borrow().as_ref() {
@@ -238,8 +246,6 @@
                 pending: RefCell::default(),
                 last_received_us: Cell::new(now_us()),
             });
-            let own = Message::Announce(mesh.own_announcement());
-            session.outbox.push(&own, &[]);
             *self.session.borrow_mut() = Some(Rc::clone(&session));
             drop(guard);
             let work = run_session(
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -2,18 +2,22 @@
 //!
 //! [`ingress`] serves clients' connections. [`forward`] finds the route of a request, applies
 //! admission control and chooses a worker from the [`directory`]. A [`link`] carries the call to
-//! the daemon beside that worker, whose [`gate`] alone decides what runs there. [`registry`]
-//! maintains the daemon's entry in the platform's store and watches the other entries and the
-//! configuration. Everything runs on one thread.
+//! the daemon beside that worker, whose [`gate`] alone decides what runs there. [`gossip`] keeps the
+//! directory up to date. [`registry`] maintains the daemon's entry in the platform's store, through
+//! which started daemons find each other, and watches the configuration. Everything runs on one
+//! thread.
 
 pub mod conn;
 pub mod crash;
 pub mod daemon;
 pub mod directory;
 mod edge;
+pub mod entry;
+pub mod era;
 pub mod forward;
 pub mod frame;
 pub mod gate;
+pub mod gossip;
 pub mod http;
 pub mod ingress;
 pub mod latency;
@@ -27,12 +31,15 @@
 pub mod runtime;
 mod sends;
 pub mod settings;
+pub mod startup;
 
 use {
     crate::{
         collections::HashMap,
-        config::Config,
+        config::{Config, Revision},
+        fleet::{Fleet, member::Generation},
         metrics::Metrics,
+        place::Place,
         policy::{
             admission::Admission, circuit_breaker::CircuitBreakers, gate::Gate,
             retry_budget::RetryBudget, shed::GateRules,
@@ -40,7 +47,7 @@
         request::ServiceName,
     },
     crash::CrashTracker,
-    directory::{Announcement, Directory},
+    directory::Directory,
     frame::Message,
     gate::LocalGate,
     latency::Latencies,
@@ -53,6 +60,7 @@
     routes::{ClientLimits, ConfigVersion, RouteTable, WeightedRoundRobin},
     runtime::now_us,
     settings::MeshSettings,
+    startup::Startup,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -83,6 +91,8 @@
     config_document: RefCell<Vec<u8>>,
     /// Choice of a service for each request, by the weights of its route.
     pub round_robin: RefCell<WeightedRoundRobin>,
+    /// Daemons of the deployment and their workers.
+    pub fleet: RefCell<Fleet>,
     /// Workers of all services.
     pub directory: RefCell<Directory>,
     /// Links to other daemons.
@@ -101,21 +111,17 @@
     pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Requests suspected of crashing workers.
     pub crashes: CrashTracker,
-    /// Store connectivity and entries missing from the store.
+    /// Synchronisation with the store.
     pub registry: Registry,
+    /// What is known since the start.
+    pub startup: RefCell<Startup>,
     /// Random number generator, seeded by [`Parts::seed`].
     pub rng: RefCell<ChaCha8Rng>,
     /// Open client connections.
     pub clients: Cell<usize>,
     /// Client requests that have not been answered yet.
     pub in_progress: Cell<usize>,
-    /// Whether the daemons' entries have been read from the store at least once.
-    pub is_directory_loaded: Cell<bool>,
-    /// Whether this daemon's entry is missing from the store.
-    pub is_own_entry_missing: Cell<bool>,
     stopping_since_us: Cell<Option<u64>>,
-    started_unix_ms: u64,
-    announced: RefCell<Announcement>,
 }
 
 /// Inputs for building a [`Mesh`].
@@ -149,16 +155,15 @@
             settings.region.clone(),
             rng.random(),
         );
-        let announced = Announcement {
-            vm: settings.name.clone(),
-            daemon_started_unix_ms: started_unix_ms,
-            sequence: 0,
-            addr: settings.calls_addr,
-            data_centre: settings.data_centre.clone(),
+        let place = Place {
+            name: settings.name.clone(),
             region: settings.region.clone(),
-            worker: None,
-            departed: Vec::new(),
+            data_centre: settings.data_centre.clone(),
+            call_addr: settings.calls_addr,
+            gossip_addr: settings.calls_addr,
         };
+        let generation = Generation::starting(started_unix_ms, rng.random());
+        let fleet = Fleet::new(gossip::rules(), place, generation, rng.random());
         Rc::new(Self {
             gate: RefCell::new(LocalGate::new(Gate::new(rules, rng.random()))),
             pool: Pool::new(Rc::clone(&protocol)),
@@ -170,6 +175,7 @@
             routes: RefCell::default(),
             config_document: RefCell::default(),
             round_robin: RefCell::default(),
+            fleet: RefCell::new(fleet),
             directory: RefCell::new(directory),
             links: RefCell::default(),
             inbound: RefCell::default(),
@@ -178,20 +184,26 @@
             retry_budgets: RefCell::default(),
             crashes: CrashTracker::new(),
             registry: Registry::default(),
+            startup: RefCell::default(),
             rng: RefCell::new(rng),
             clients: Cell::new(0),
             in_progress: Cell::new(0),
-            is_directory_loaded: Cell::new(false),
-            is_own_entry_missing: Cell::new(false),
             stopping_since_us: Cell::new(None),
-            started_unix_ms,
-            announced: RefCell::new(announced),
         })
     }
 
     /// Returns whether the daemon is ready to serve clients.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routes.borrow().is_some() && self.is_directory_loaded.get()
+        let own = Revision(self.config_version().0);
+        let newest = self
+            .fleet
+            .borrow()
+            .newest_config()
+            .map(|newest| newest.revision);
+        let mut startup = self.startup.borrow_mut();
+        !self.is_stopping()
+            && self.routes.borrow().is_some()
+            && startup.is_settled(own, newest, now_us())
     }
 
     /// Returns whether the daemon is shutting down.
@@ -237,39 +249,12 @@
             .unwrap_or_default()
     }
 
-    /// Announcement of this daemon, as last published.
-    pub fn own_announcement(&self) -> Announcement {
-        self.announced.borrow().clone()
-    }
-
     /// Returns the link to the daemon at an address, creating it if necessary.
     pub fn link(&self, addr: SocketAddr) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
         Rc::clone(links.entry(addr).or_insert_with(|| Link::new(addr)))
     }
 
-    /// Publishes the state of the local worker to peers and the store if it has changed.
-    pub fn publish(&self) {
-        let (worker, departed) = {
-            let gate = self.gate.borrow();
-            (gate.worker_state(), gate.departed())
-        };
-        let announcement = {
-            let mut announced = self.announced.borrow_mut();
-            let is_published = announced.worker == worker && announced.departed == departed;
-            if is_published && announced.sequence > 0 {
-                return;
-            }
-            announced.worker = worker;
-            announced.departed = departed;
-            announced.sequence += 1;
-            announced.clone()
-        };
-        self.apply_announcement(announcement.clone(), "self");
-        self.registry.wake();
-        self.broadcast(&Message::Announce(announcement));
-    }
-
     /// Sends a message over all open connections to other daemons, whichever side opened them.
     pub fn broadcast(&self, message: &Message) {
         for link in self.links.borrow().values() {
@@ -281,44 +266,11 @@
         });
     }
 
-    /// Registers the outbox of a connection that another daemon opened, and sends this daemon's
-    /// announcement over it.
+    /// Registers the outbox of a connection that another daemon opened.
     pub fn add_inbound(&self, outbox: &Rc<Outbox>) {
-        outbox.push(&Message::Announce(self.own_announcement()), &[]);
         self.inbound.borrow_mut().push(Rc::downgrade(outbox));
     }
 
-    /// Applies an announcement to the directory. If it is from the previous incarnation of this
-    /// VM's daemon, only its departures are applied.
-    pub fn apply_announcement(&self, announcement: Announcement, source: &'static str) {
-        if announcement.vm == self.settings.name
-            && announcement.daemon_started_unix_ms != self.started_unix_ms
-        {
-            self.apply_previous_departures(&announcement);
-            return;
-        }
-        let vm = announcement.vm.clone();
-        let worker = announcement.worker.clone();
-        if self.directory.borrow_mut().apply_announcement(announcement) {
-            let service = worker.as_ref().map(|worker| worker.service.as_str());
-            let incarnation = worker.as_ref().map(|worker| worker.incarnation.to_string());
-            tracing::info!(%vm, source, service, worker = incarnation, "worker of a VM changed");
-        }
-    }
-
-    /// Applies the departures that the previous incarnation of this VM's daemon acknowledged.
-    fn apply_previous_departures(&self, previous: &Announcement) {
-        for incarnation in previous.departed.iter().rev() {
-            let mut gate = self.gate.borrow_mut();
-            let change = gate.leave(&incarnation.id, Some(incarnation.started_unix_ms), now_us());
-            tracing::info!(worker = %incarnation, ?change,
-                "applied a departure acknowledged by the previous daemon");
-        }
-        if !previous.departed.is_empty() {
-            self.publish();
-        }
-    }
-
     /// Applies a configuration document. A malformed one, or one that is not newer than the
     /// configuration in force, is ignored.
     pub fn apply_config(self: &Rc<Self>, document: &[u8], source: &'static str) {
@@ -337,10 +289,11 @@
         }
         tracing::info!(version = %table.version, replaced = %in_force, source,
             routes = table.len(), "configuration in force");
-        let version = table.version;
+        self.fleet
+            .borrow_mut()
+            .set_revision(Revision(table.version.0));
         *self.routes.borrow_mut() = Some(Rc::new(table));
         *self.config_document.borrow_mut() = document.to_vec();
-        self.broadcast(&Message::Ping(version.0));
     }
 
     /// Handles a message from a peer that is not part of a call.
@@ -358,7 +311,6 @@
                 }
             }
             Message::Config => self.apply_config(payload, "peer"),
-            Message::Announce(announcement) => self.apply_announcement(announcement, "peer"),
             Message::Crashes(crashes) => self.merge_crashes(crashes),
             Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
                 self.metrics.count("peers.unexpected");
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -111,8 +111,8 @@
                     .borrow_mut()
                     .leave(&worker_id, started_unix_ms, now_us());
                 self.publish_worker_change(change, &worker_id, "departure");
-                // A departure of an unknown incarnation changes the announcement too.
-                self.publish();
+                // A departure of an unknown incarnation changes the entry too.
+                self.registry.wake();
                 (200, JSON, "{}".into())
             }
             Ok(ControlRequest::Unknown) => (404, TEXT, String::new()),
--- a/src/mesh/protocol.rs
+++ b/src/mesh/protocol.rs
@@ -168,26 +168,54 @@
     Compacted,
 }
 
+/// Page of a listing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Entries in the order of their keys.
+    pub entries: Vec<StoreEntry>,
+    /// Whether more entries follow.
+    pub is_truncated: bool,
+    /// Revision to watch from.
+    pub revision: u64,
+}
+
+/// How recent the result of a read has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// Includes all acknowledged writes.
+    Latest,
+    /// May be seconds old; costs the store a tenth.
+    Stale,
+}
+
+/// Answer of the store, with the era that it states.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answered<T> {
+    /// Result of the call.
+    pub value: T,
+    /// Era as stated; see [`crate::mesh::era`].
+    pub era: Option<SmolStr>,
+}
+
+/// Result of a call to the platform's store.
+pub type StoreResult<T> = Result<Answered<T>, StoreError>;
+
 /// The platform's key-value store: leased entries that are listed and watched by prefix.
 #[async_trait(?Send)]
 pub trait PlatformStore {
-    /// Lists all entries below a prefix, and returns them with the revision to watch from.
-    async fn list(&self, prefix: &str) -> Result<(Vec<StoreEntry>, u64), StoreError>;
+    /// Lists one page of the entries below a prefix, beginning after a key; an empty `after` begins
+    /// with the first entry.
+    async fn list(&self, prefix: &str, after: &str, freshness: Freshness) -> StoreResult<Page>;
 
     /// Waits for changes below a prefix after a revision, for at most `wait_ms`.
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: u64,
-        wait_ms: u64,
-    ) -> Result<WatchResult, StoreError>;
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> StoreResult<WatchResult>;
 
     /// Writes an entry with a lease; returns false if the lease has expired.
-    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError>;
+    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> StoreResult<bool>;
 
     /// Grants a lease.
-    async fn grant(&self, ttl_ms: u64) -> Result<LeaseId, StoreError>;
+    async fn grant(&self, ttl_ms: u64) -> StoreResult<LeaseId>;
 
     /// Renews a lease; returns false if it has expired.
-    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError>;
+    async fn renew(&self, lease: LeaseId) -> StoreResult<bool>;
 }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -1,35 +1,39 @@
-//! Synchronisation with the platform's store: the daemon's own leased entry, the entries of the
-//! other daemons, and the configuration.
+//! Synchronisation with the platform's store: the daemon's own leased entry, the entries of other
+//! daemons as first contacts, and the configuration.
 //!
-//! The store lists the daemons that exist; the links show which of them are reachable. Entries
-//! expire during an outage of the store, and their daemons write them again. A daemon is therefore
-//! removed only if its entry stays missing for a grace period.
+//! The number of calls does not depend on the size of the fleet. A started daemon reads one page of
+//! entries, which begins with its own; the other members come from gossip. It reads a page again
+//! soon after the start, at long intervals, after an outage of the store, and after the store has
+//! come back from an older copy. This joins parts of the fleet that do not know each other.
 
 use {
     crate::{
-        collections::HashMap,
         mesh::{
             Mesh,
-            directory::Announcement,
-            protocol::{StoreChange, StoreEntry, WatchResult},
+            entry::{self, Entry},
+            era::{EraCheck, EraTracker},
+            protocol::{Answered, Freshness, StoreChange, StoreEntry, StoreResult, WatchResult},
             runtime::{now_us, sleep_ms},
         },
         store::{LeaseId, StoreError},
     },
-    futures::{channel::oneshot, future::select},
+    event_listener::Event,
+    futures::future::{Either, select},
     rand::RngExt,
-    smol_str::{SmolStr, format_smolstr},
-    std::{cell::RefCell, rc::Rc},
+    smol_str::{SmolStr, ToSmolStr, format_smolstr},
+    std::{
+        cell::{Cell, RefCell},
+        pin::pin,
+        rc::Rc,
+    },
 };
 
-/// Key prefix of the daemons' entries.
-const DAEMONS_PREFIX: &str = "daemons/";
-
-/// Lifetime of an entry without renewal; a few renewals may fail before it expires.
-const LEASE_TTL_MS: u64 = 6_000;
+/// Lifetime of an entry without renewal; two renewals may fail before it expires.
+const LEASE_TTL_MS: u64 = 15_000;
 
-/// Interval of lease renewals, a third of the lifetime.
-const RENEW_INTERVAL_MS: u64 = 2_000;
+/// Interval of lease renewals, a third of the lifetime. A changed record of this daemon is written
+/// with the next renewal.
+const RENEW_INTERVAL_MS: u64 = 5_000;
 
 /// Delay after a failed call, doubled after each further failure.
 const BACKOFF_MIN_MS: u64 = 100;
@@ -38,42 +42,91 @@
 /// the store.
 const BACKOFF_MAX_MS: u64 = 600;
 
-/// Longest wait of one watch call; a dead connection is detected by its keep-alive probes.
-const WATCH_TIMEOUT_MS: u64 = 25_000;
+/// Longest wait of one watch call that the platform allows; a dead connection is detected by its
+/// keep-alive probes.
+const WATCH_TIMEOUT_MS: u64 = 30_000;
 
-/// Grace period before a daemon with a missing entry is removed: the platform allows two seconds to
-/// write the entry again after an outage, and half a second is added for its propagation.
-const MISSING_GRACE_US: u64 = 2_500_000;
+/// Delay until entries are read a second time, when all daemons that started together have written
+/// theirs.
+const SECOND_LISTING_MS: u64 = 3_000;
 
-/// Interval of the check for missing entries.
-const SWEEP_INTERVAL_MS: u64 = 500;
+/// Mean interval between further listings.
+const LISTING_INTERVAL_MS: u64 = 60_000;
+
+/// Interval between listings while no other daemon is known.
+const ALONE_LISTING_MS: u64 = 1_000;
+
+/// Number of entries in a page that are enough to join the fleet.
+const MIN_CONTACTS: usize = 32;
 
-/// Silence on a link below which the daemon at its other end counts as alive.
-const LINK_ALIVE_MAX_SILENCE_US: u64 = 1_500_000;
+/// Interval at which expired idle connections to the worker are closed.
+const SWEEP_INTERVAL_MS: u64 = 500;
 
 /// State of the synchronisation with the store.
 #[derive(Debug, Default)]
 pub struct Registry {
-    missing_since_us: RefCell<HashMap<SmolStr, u64>>,
-    wake: RefCell<Option<oneshot::Sender<()>>>,
-    last_store_success_us: std::cell::Cell<u64>,
-    is_store_lost: std::cell::Cell<bool>,
+    /// Notified when this daemon's departures have changed or its entry may be missing.
+    entry_stale: Event,
+    /// Notified when entries have to be listed again.
+    listing_due: Event,
+    /// Notified when the store has come back from an older copy.
+    era_risen: Event,
+    /// Number of times that it has.
+    rises: Cell<u64>,
+    era: RefCell<EraTracker>,
+    has_logged_era: Cell<bool>,
+    is_store_lost: Cell<bool>,
 }
 
 impl Registry {
-    /// Wakes the task that maintains this daemon's entry, so that it writes changes at once.
+    /// Wakes the task that maintains this daemon's entry, so that it writes departures at once.
     pub fn wake(&self) {
-        if let Some(wake) = self.wake.borrow_mut().take() {
-            // A running task checks for changes before it waits again.
-            let _ = wake.send(());
-        }
+        self.entry_stale.notify(usize::MAX);
     }
 
-    fn record_success(&self) {
-        self.last_store_success_us.set(now_us());
+    /// Takes the value of an answer and compares its era with the newest one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call failed, or if its answer is of an earlier era than another one.
+    fn accept<T>(&self, step: &'static str, answered: StoreResult<T>) -> Result<T, StoreError> {
+        let Answered { value, era } = answered.inspect_err(|error| self.record_failure(error))?;
+        match self.era.borrow_mut().check(era.as_deref()) {
+            EraCheck::Current => {}
+            EraCheck::Risen { from, to } => {
+                tracing::warn!(%from, %to, "store has come back from an older copy; \
+                    own entry is written and all entries are read again");
+                self.rises.set(self.rises.get() + 1);
+                self.era_risen.notify(usize::MAX);
+                self.wake();
+                self.listing_due.notify(usize::MAX);
+            }
+            EraCheck::Outdated { newest, found } => {
+                tracing::warn!(step, %newest, %found, "answer of an earlier era of the store ignored");
+                return Err(StoreError::Uncertain {
+                    step,
+                    peer: SmolStr::new_static("store"),
+                    detail: format_smolstr!("answer of era {found}, newest is {newest}"),
+                });
+            }
+            EraCheck::Unreadable { newest, found } => {
+                if !self.has_logged_era.replace(true) {
+                    let newest = newest.map(|era| era.to_smolstr());
+                    tracing::warn!(
+                        step,
+                        ?newest,
+                        ?found,
+                        "store states no legible era; its answers count as current"
+                    );
+                }
+            }
+        }
         if self.is_store_lost.replace(false) {
             tracing::info!("store regained");
+            self.wake();
+            self.listing_due.notify(usize::MAX);
         }
+        Ok(value)
     }
 
     fn record_failure(&self, error: &StoreError) {
@@ -98,251 +151,241 @@
     }
 }
 
-/// Maintains this daemon's entry in the store.
+/// This daemon's entry in the store, as far as it is known.
+#[derive(Debug, Default)]
+struct OwnEntry {
+    /// Number of times that the store had come back from an older copy.
+    rises: u64,
+    lease: Option<LeaseId>,
+    written: Option<Entry>,
+}
+
+/// Maintains this daemon's entry, from the first listing on: that one reads the departures which
+/// the previous daemon of the VM has acknowledged.
 pub async fn maintain_entry(mesh: Rc<Mesh>) {
     let mut backoff = Backoff::new();
-    let mut lease: Option<LeaseId> = None;
-    let mut written: Option<Announcement> = None;
+    while let Err(error) = list(&mesh, Freshness::Latest).await {
+        tracing::debug!(%error, "listing the entries failed");
+        backoff.wait(&mesh).await;
+    }
+    let mut own = OwnEntry::default();
+    backoff = Backoff::new();
     loop {
-        let (sender, receiver) = oneshot::channel();
-        *mesh.registry.wake.borrow_mut() = Some(sender);
-        match refresh(&mesh, &mut lease, &mut written).await {
-            Ok(()) => {
-                mesh.registry.record_success();
-                backoff = Backoff::new();
-                select(receiver, std::pin::pin!(sleep_ms(RENEW_INTERVAL_MS))).await;
-            }
-            Err(error) => {
-                mesh.registry.record_failure(&error);
-                backoff.wait(&mesh).await;
-            }
+        let stale = mesh.registry.entry_stale.listen();
+        let rises = mesh.registry.rises.get();
+        if own.rises != rises {
+            own = OwnEntry {
+                rises,
+                ..OwnEntry::default()
+            };
+        }
+        let refreshed = refresh(&mesh, &mut own).await;
+        if mesh.registry.rises.get() != rises {
+            continue;
+        }
+        if let Err(error) = refreshed {
+            tracing::debug!(%error, "maintaining the own entry failed");
+            backoff.wait(&mesh).await;
+            continue;
         }
+        backoff = Backoff::new();
+        select(stale, pin!(sleep_ms(RENEW_INTERVAL_MS))).await;
     }
 }
 
-/// Renews the lease of this daemon's entry, or writes the entry if it is new, changed or missing.
-async fn refresh(
-    mesh: &Mesh,
-    lease: &mut Option<LeaseId>,
-    written: &mut Option<Announcement>,
-) -> Result<(), StoreError> {
-    let own = mesh.own_announcement();
-    let current_lease = if let Some(current_lease) = *lease {
-        current_lease
-    } else {
-        let granted = mesh
-            .store
-            .grant(LEASE_TTL_MS.max(mesh.settings.lease_min_ms))
-            .await?;
-        *lease = Some(granted);
-        *written = None;
-        granted
-    };
-    if written.as_ref() == Some(&own) && !mesh.is_own_entry_missing.replace(false) {
-        if !mesh.store.renew(current_lease).await? {
-            tracing::warn!("own entry expired");
-            *lease = None;
-            mesh.registry.wake();
+/// Renews the lease of this daemon's entry, or writes the entry if it is new or changed.
+async fn refresh(mesh: &Mesh, own: &mut OwnEntry) -> Result<(), StoreError> {
+    let registry = &mesh.registry;
+    loop {
+        let lease = if let Some(lease) = own.lease {
+            lease
+        } else {
+            let granted = mesh
+                .store
+                .grant(LEASE_TTL_MS.max(mesh.settings.lease_min_ms))
+                .await;
+            let lease = registry.accept("grant lease", granted)?;
+            own.lease = Some(lease);
+            own.written = None;
+            lease
+        };
+        let current = mesh.own_entry();
+        let has_lease = if own
+            .written
+            .as_ref()
+            .is_some_and(|written| !written.differs(&current))
+        {
+            registry.accept("renew lease", mesh.store.renew(lease).await)?
+        } else {
+            let value = serde_json::to_vec(&current).map_err(|error| StoreError::Refused {
+                step: "encode own entry",
+                peer: SmolStr::new_static("store"),
+                detail: format_smolstr!("{error}"),
+            })?;
+            let key = entry::key(&mesh.settings.name);
+            let put = mesh.store.put(&key, &value, lease).await;
+            registry.accept("write own entry", put)?
+        };
+        if has_lease {
+            own.written = Some(current);
+            return Ok(());
         }
-        return Ok(());
+        tracing::warn!("lease of the own entry expired");
+        own.lease = None;
     }
-    let value = serde_json::to_vec(&own).map_err(|error| StoreError::Refused {
-        step: "encode own entry",
-        peer: SmolStr::new_static("store"),
-        detail: format_smolstr!("{error}"),
-    })?;
-    let key = format!("{DAEMONS_PREFIX}{}", own.vm);
-    if mesh.store.put(&key, &value, current_lease).await? {
-        *written = Some(own);
-    } else {
-        *lease = None;
-        mesh.registry.wake();
+}
+
+/// Lists entries at intervals, and when the store has been away.
+pub async fn watch_contacts(mesh: Rc<Mesh>) {
+    let mut wait_ms = SECOND_LISTING_MS;
+    loop {
+        let due = mesh.registry.listing_due.listen();
+        let is_alone = mesh.fleet.borrow().live_members() == 1;
+        let wait = if is_alone { ALONE_LISTING_MS } else { wait_ms };
+        let asked = matches!(select(due, pin!(sleep_ms(wait))).await, Either::Left(_));
+        // The daemons of a fleet spread their listings after an outage.
+        if asked {
+            let spread_ms = mesh.rng.borrow_mut().random_range(0..ALONE_LISTING_MS);
+            sleep_ms(spread_ms).await;
+        }
+        if let Err(error) = list(&mesh, Freshness::Stale).await {
+            tracing::debug!(%error, "listing the entries failed");
+            wait_ms = SECOND_LISTING_MS;
+            continue;
+        }
+        let jitter = mesh.rng.borrow_mut().random_range(0.5..1.5);
+        wait_ms = (LISTING_INTERVAL_MS as f64 * jitter) as u64;
     }
-    Ok(())
 }
 
-/// Watches the entries of all daemons.
-pub async fn watch_entries(mesh: Rc<Mesh>) {
-    let listed = |entries| {
-        mesh.apply_listing(entries);
-        mesh.is_directory_loaded.set(true);
-    };
-    watch(&mesh, DAEMONS_PREFIX, listed, |change| {
-        mesh.apply_change(change);
-    })
-    .await;
+/// Reads one page of entries, beginning with this daemon's own, and continues from the first entry
+/// if the page reaches the end.
+async fn list(mesh: &Mesh, freshness: Freshness) -> Result<(), StoreError> {
+    let position = entry::position(&mesh.settings.name);
+    let page = mesh.store.list(entry::PREFIX, &position, freshness).await;
+    let page = mesh.registry.accept("list entries", page)?;
+    let mut entries = page.entries;
+    if !page.is_truncated && entries.len() < MIN_CONTACTS {
+        let page = mesh.store.list(entry::PREFIX, "", freshness).await;
+        entries.extend(mesh.registry.accept("list entries", page)?.entries);
+    }
+    mesh.merge_entries(&entries);
+    Ok(())
 }
 
 /// Watches the configuration.
 pub async fn watch_config(mesh: Rc<Mesh>) {
-    let key = mesh.protocol.config_key();
-    let apply = |entry: StoreEntry| {
-        if entry.key == key {
-            mesh.apply_config(&entry.value, "store");
-        }
-    };
-    let listed = |entries: Vec<StoreEntry>| entries.into_iter().for_each(apply);
-    let changed = |change| match change {
-        StoreChange::Put(entry) => apply(entry),
-        StoreChange::Removed(key) => {
-            tracing::warn!(%key,
-                "configuration removed from the store; the version in force is kept");
-        }
-    };
-    watch(&mesh, key, listed, changed).await;
-}
-
-/// Lists the entries below a prefix and watches their changes. Lists them again if the store has
-/// compacted its history.
-async fn watch(
-    mesh: &Mesh,
-    prefix: &str,
-    listed: impl Fn(Vec<StoreEntry>),
-    changed: impl Fn(StoreChange),
-) {
     let mut backoff = Backoff::new();
-    let mut revision = None;
+    let mut cursor = None;
     loop {
-        match watch_once(mesh, prefix, &mut revision, &listed, &changed).await {
-            Ok(()) => {
-                mesh.registry.record_success();
-                backoff = Backoff::new();
+        let new_era = mesh.registry.era_risen.listen();
+        let rises = mesh.registry.rises.get();
+        let result = {
+            let watched = pin!(watch_config_once(&mesh, &mut cursor));
+            match select(watched, new_era).await {
+                Either::Left((result, _)) => result,
+                Either::Right(_) => Ok(()),
             }
+        };
+        // Revisions of an earlier era may have been given out again.
+        if mesh.registry.rises.get() != rises {
+            cursor = None;
+        }
+        match result {
+            Ok(()) => backoff = Backoff::new(),
             Err(error) => {
-                mesh.registry.record_failure(&error);
-                backoff.wait(mesh).await;
+                tracing::debug!(%error, "watching the configuration failed");
+                backoff.wait(&mesh).await;
             }
         }
     }
 }
 
-async fn watch_once(
-    mesh: &Mesh,
-    prefix: &str,
-    revision: &mut Option<u64>,
-    listed: &impl Fn(Vec<StoreEntry>),
-    changed: &impl Fn(StoreChange),
-) -> Result<(), StoreError> {
-    let Some(after) = *revision else {
-        let (entries, at) = mesh.store.list(prefix).await?;
-        *revision = Some(at);
-        listed(entries);
+async fn watch_config_once(mesh: &Rc<Mesh>, cursor: &mut Option<u64>) -> Result<(), StoreError> {
+    let key = mesh.protocol.config_key();
+    let apply = |entry: StoreEntry| {
+        if entry.key == key {
+            mesh.apply_config(&entry.value, "store");
+        }
+    };
+    let Some(after) = *cursor else {
+        let page = mesh.store.list(key, "", Freshness::Latest).await;
+        let page = mesh.registry.accept("read configuration", page)?;
+        *cursor = Some(page.revision);
+        page.entries.into_iter().for_each(apply);
         return Ok(());
     };
-    match mesh.store.watch(prefix, after, WATCH_TIMEOUT_MS).await? {
-        WatchResult::Compacted => *revision = None,
-        WatchResult::Changes {
-            changes,
-            revision: next,
-        } => {
-            *revision = Some(next);
-            changes.into_iter().for_each(changed);
+    let watched = mesh.store.watch(key, after, WATCH_TIMEOUT_MS).await;
+    match mesh.registry.accept("watch configuration", watched)? {
+        WatchResult::Compacted => *cursor = None,
+        WatchResult::Changes { changes, revision } => {
+            *cursor = Some(revision);
+            for change in changes {
+                match change {
+                    StoreChange::Put(entry) => apply(entry),
+                    StoreChange::Removed(key) => tracing::warn!(%key,
+                        "configuration removed from the store; the version in force is kept"),
+                }
+            }
         }
     }
     Ok(())
 }
 
-/// Removes daemons whose entries stay missing, and closes expired idle connections to the worker.
+/// Closes expired idle connections to the worker.
 pub async fn sweep(mesh: Rc<Mesh>) {
     loop {
         sleep_ms(SWEEP_INTERVAL_MS).await;
-        mesh.remove_missing_daemons(now_us());
         mesh.pool.sweep(now_us());
     }
 }
 
 impl Mesh {
-    fn apply_listing(&self, entries: Vec<StoreEntry>) {
-        let mut listed: Vec<SmolStr> = Vec::with_capacity(entries.len());
-        for entry in entries {
-            if let Some(vm) = entry.key.strip_prefix(DAEMONS_PREFIX) {
-                listed.push(vm.into());
-            }
-            self.apply_change(StoreChange::Put(entry));
-        }
-        let known: Vec<SmolStr> = {
-            let directory = self.directory.borrow();
-            directory
-                .announcements()
-                .map(|known| known.vm.clone())
-                .collect()
-        };
-        for vm in known {
-            if !listed.contains(&vm) {
-                self.handle_missing_entry(vm);
-            }
+    fn own_entry(&self) -> Entry {
+        Entry {
+            member: self.own_member(),
+            departed: self.gate.borrow().departed(),
         }
     }
 
-    fn apply_change(&self, change: StoreChange) {
-        match change {
-            StoreChange::Put(entry) => match serde_json::from_slice(&entry.value) {
-                Ok(announcement) => {
-                    let announcement: Announcement = announcement;
-                    self.registry
-                        .missing_since_us
-                        .borrow_mut()
-                        .remove(&announcement.vm);
-                    self.apply_announcement(announcement, "store");
-                }
+    /// Merges listed entries into the membership.
+    fn merge_entries(&self, entries: &[StoreEntry]) {
+        let mut has_peers = false;
+        for stored in entries {
+            let entry: Entry = match serde_json::from_slice(&stored.value) {
+                Ok(entry) => entry,
                 Err(error) => {
                     self.metrics.count("store.bad_entry");
-                    tracing::warn!(key = %entry.key, %error, "malformed entry ignored");
+                    tracing::warn!(key = %stored.key, %error, "malformed entry ignored");
+                    continue;
                 }
-            },
-            StoreChange::Removed(key) => {
-                if let Some(vm) = key.strip_prefix(DAEMONS_PREFIX) {
-                    self.handle_missing_entry(vm.into());
+            };
+            if entry.member.place.name == self.settings.name {
+                if entry.member.generation != self.own_member().generation {
+                    self.apply_previous_departures(&entry);
                 }
+            } else {
+                has_peers = true;
             }
+            // The datagrams follow with the next tick.
+            let _ = self.update_fleet(|fleet, _| fleet.merge_stored(&entry.member, now_us()));
         }
-    }
-
-    fn handle_missing_entry(&self, vm: SmolStr) {
-        if vm == self.settings.name {
-            self.is_own_entry_missing.set(true);
-            self.registry.wake();
-            return;
-        }
-        self.registry
-            .missing_since_us
+        self.startup
             .borrow_mut()
-            .entry(vm)
-            .or_insert_with(now_us);
+            .record_listing(has_peers, now_us());
+        tracing::info!(entries = entries.len(), "entries listed");
     }
 
-    fn remove_missing_daemons(&self, now_us: u64) {
-        let mut missing = self.registry.missing_since_us.borrow_mut();
-        if missing.is_empty() || self.registry.is_store_lost.get() {
-            return;
+    /// Applies the departures that the previous incarnation of this VM's daemon acknowledged.
+    pub fn apply_previous_departures(&self, previous: &Entry) {
+        for incarnation in previous.departed.iter().rev() {
+            let mut gate = self.gate.borrow_mut();
+            let change = gate.leave(&incarnation.id, Some(incarnation.started_unix_ms), now_us());
+            tracing::info!(worker = %incarnation, ?change,
+                "applied a departure acknowledged by the previous daemon");
+        }
+        if !previous.departed.is_empty() {
+            self.publish();
         }
-        missing.retain(|vm, since_us| {
-            if now_us.saturating_sub(*since_us) < MISSING_GRACE_US {
-                return true;
-            }
-            if self.is_link_alive(vm, now_us) {
-                return true;
-            }
-            if self.directory.borrow_mut().remove(vm) {
-                tracing::info!(%vm, "daemon removed");
-            }
-            false
-        });
-    }
-
-    fn is_link_alive(&self, vm: &str, now_us: u64) -> bool {
-        let addr = {
-            let directory = self.directory.borrow();
-            directory
-                .announcements()
-                .find(|known| known.vm == vm)
-                .map(|known| known.addr)
-        };
-        let Some(addr) = addr else {
-            return false;
-        };
-        let links = self.links.borrow();
-        let silence_us = links.get(&addr).and_then(|link| link.silence_us(now_us));
-        silence_us.is_some_and(|silence_us| silence_us < LINK_ALIVE_MAX_SILENCE_US)
     }
 }
--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::{
+        fleet::Reachability,
         mesh::{
             Mesh,
             directory::{Choice, Reach, SendOutcome},
             forward::{Answer, Inbound, RoutedRequest},
-            frame::{Call, CallResult, GateLoad, Reply, ServiceLoad, WorkerIncarnation},
+            frame::{Call, CallResult, GateLoad, Reply, ServiceLoad},
             gate,
             link::{Link, LinkResult},
             runtime::{now_us, sleep_until},
         },
         policy::{admission::BottleneckLoad, retry_budget::RetryBudget},
-        request::{Outcome, Reason, Refusal, ServiceName},
+        request::{Incarnation, Outcome, Reason, Refusal, ServiceName},
     },
     futures::future::{Either, select},
     smol_str::SmolStr,
@@ -36,7 +37,7 @@
     /// VM of the latest send.
     pub(super) vm: SmolStr,
     reach: Reach,
-    tried: Vec<WorkerIncarnation>,
+    tried: Vec<Incarnation>,
     pub(super) sends: u32,
     pub(super) gate_rejections: usize,
     may_have_run: bool,
@@ -172,6 +173,11 @@
                 tracing::info!(attempt = %request.metadata.attempt_id, vm = %choice.vm, %error,
                     "call lost");
                 open_send.finish(SendOutcome::Unreachable, None);
+                self.fleet.borrow_mut().record_reachability(
+                    choice.incarnation,
+                    Reachability::Unreachable,
+                    now_us(),
+                );
                 if !error.may_have_arrived {
                     return SendResult::Refused(Refusal::not_run(Reason::Unreachable));
                 }
@@ -243,7 +249,7 @@
                 open_send.finish(outcome, Some(reply.load));
                 if matches!(refusal.reason, Reason::Draining | Reason::Unreachable) {
                     let mut directory = self.directory.borrow_mut();
-                    directory.mark_refused(choice.key, &choice.incarnation);
+                    directory.mark_refused(choice.key, choice.incarnation);
                 }
                 if !reply.was_sent && refusal.reason.lacks_capacity() {
                     history.reach = Reach::Region;
@@ -302,7 +308,7 @@
             attempt_id: self.metadata.attempt_id.clone(),
             route: self.route.name.clone(),
             service: self.service.clone(),
-            worker: choice.incarnation.clone(),
+            worker: choice.incarnation,
             caller_service: mesh.own_service().clone(),
             importance: self.importance,
             root_importance: self.root_importance,
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,224 @@
+//! Membership of all daemons of a deployment in one group, in virtual time.
+//!
+//! Load patterns: a fleet that starts together, a release that replaces many workers, a daemon that
+//! is gone. What each daemon sends must not grow with the fleet.
+
+mod fleet_net;
+
+use {
+    fleet_net::{Net, Node, advertised_worker, slope::measure},
+    shallotdeal::{
+        config::Revision,
+        fleet::{
+            FleetRules, Scope,
+            member::{Member, Status},
+        },
+        mesh::gossip,
+    },
+    std::collections::BTreeSet,
+};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// Bound on what one daemon may send for control, from the plan of the users' size.
+const CONTROL_BYTES_PER_S: f64 = 28_000.0;
+
+const CENTRES: [(&str, &str); 8] = [
+    ("wien", "ost"),
+    ("graz", "ost"),
+    ("linz", "ost"),
+    ("stpoelten", "ost"),
+    ("innsbruck", "west"),
+    ("salzburg", "west"),
+    ("bregenz", "west"),
+    ("dornbirn", "west"),
+];
+
+/// Daemons that start together and know a few of the others from the store.
+fn deployment(seed: u64, members: usize) -> Net {
+    let mut net = Net::new(seed, gossip::rules());
+    for index in 0..members {
+        let (centre, region) = CENTRES[index % CENTRES.len()];
+        net.add(centre, region, "orders");
+    }
+    net.run_until(60 * SECOND_US, everyone_knows_everyone)
+        .expect("the fleet forms");
+    net
+}
+
+fn everyone_knows_everyone(net: &Net) -> bool {
+    let running: BTreeSet<_> = net
+        .live()
+        .map(|node| node.fleet.local_member().generation)
+        .collect();
+    net.live().all(|node| {
+        let members = node.fleet.members();
+        let live = members.filter(|member| member.status.is_live());
+        live.map(|member| member.generation)
+            .collect::<BTreeSet<_>>()
+            == running
+    })
+}
+
+fn all_views(net: &Net, name: &str, predicate: impl Fn(&Member) -> bool) -> bool {
+    net.live()
+        .all(|node| node.fleet.member(name).is_some_and(&predicate))
+}
+
+fn name(net: &Net, index: usize) -> String {
+    net.nodes[index].fleet.local_member().place.name.to_string()
+}
+
+#[test]
+fn the_scope_of_the_platform_is_the_deployment() {
+    assert_eq!(gossip::rules().scope, Scope::Deployment);
+    assert_eq!(FleetRules::default().scope, Scope::DataCentre);
+}
+
+#[test]
+fn a_draining_worker_is_known_everywhere_within_two_seconds() {
+    for members in [30, 100, 300] {
+        let mut net = deployment(3, members);
+        net.run(20 * SECOND_US);
+        let leaving = name(&net, 5);
+        let generation = net.nodes[5].fleet.local_member().generation;
+        let mut worker = advertised_worker(generation.0, "orders");
+        worker.draining = true;
+        net.nodes[5].fleet.set_worker(Some(worker));
+        let drains = |member: &Member| member.worker.as_ref().is_some_and(|held| held.draining);
+        let took_us = net.run_until(10 * SECOND_US, |net| all_views(net, &leaving, drains));
+        assert!(
+            took_us.is_some_and(|took_us| took_us <= 2 * SECOND_US),
+            "{members} members: {took_us:?}"
+        );
+    }
+}
+
+#[test]
+fn a_daemon_that_joins_is_known_everywhere_within_two_seconds() {
+    for members in [30, 100, 300] {
+        let mut net = deployment(4, members);
+        net.run(20 * SECOND_US);
+        let index = net.add("graz", "ost", "orders");
+        let joining = name(&net, index);
+        let took_us = net.run_until(10 * SECOND_US, |net| {
+            all_views(net, &joining, |member| member.worker.is_some())
+        });
+        assert!(
+            took_us.is_some_and(|took_us| took_us <= 2 * SECOND_US),
+            "{members} members: {took_us:?}"
+        );
+    }
+}
+
+#[test]
+fn a_daemon_that_is_gone_is_suspected_everywhere_within_four_seconds_and_removed_within_ten() {
+    let mut net = deployment(5, 100);
+    net.run(20 * SECOND_US);
+    let gone = name(&net, 7);
+    net.kill(7);
+    let avoided = |member: &Member| member.status >= Status::Suspect;
+    let took_us = net.run_until(10 * SECOND_US, |net| all_views(net, &gone, avoided));
+    assert!(
+        took_us.is_some_and(|took_us| took_us <= 4 * SECOND_US),
+        "{took_us:?}"
+    );
+    let removed = |member: &Member| member.status == Status::Dead;
+    let took_us = net.run_until(10 * SECOND_US, |net| all_views(net, &gone, removed));
+    assert!(
+        took_us.is_some_and(|took_us| took_us <= 6 * SECOND_US),
+        "{took_us:?}"
+    );
+}
+
+#[test]
+fn what_a_daemon_sends_does_not_grow_with_the_fleet() {
+    let slopes = [30, 300].map(|members| {
+        let mut net = deployment(6, members);
+        net.run(20 * SECOND_US);
+        measure(&mut net, 10)
+    });
+    let [small, large] = slopes;
+    assert!(
+        large.max_sent_bytes_per_s < CONTROL_BYTES_PER_S,
+        "{large:?}"
+    );
+    assert!(
+        large.sent_bytes_per_s < 1.5 * small.sent_bytes_per_s,
+        "{small:?} {large:?}"
+    );
+    assert!(
+        large.messages_per_s < 1.5 * small.messages_per_s,
+        "{small:?} {large:?}"
+    );
+}
+
+#[test]
+fn a_release_of_half_of_the_workers_stays_within_the_bound() {
+    let mut net = deployment(8, 100);
+    net.run(20 * SECOND_US);
+    net.nodes.iter_mut().for_each(|node| node.sent_bytes = 0);
+    for index in 0..50 {
+        let generation = net.nodes[index].fleet.local_member().generation;
+        let mut worker = advertised_worker(generation.0, "orders");
+        worker.draining = true;
+        net.nodes[index].fleet.set_worker(Some(worker));
+        net.run(SECOND_US / 10);
+        let replacement = advertised_worker(generation.0 + 1, "orders");
+        net.nodes[index].fleet.set_worker(Some(replacement));
+        net.run(SECOND_US / 10);
+    }
+    let most = net.nodes.iter().map(|node: &Node| node.sent_bytes).max();
+    let per_s = most.unwrap_or(0) as f64 / 10.0;
+    assert!(per_s < CONTROL_BYTES_PER_S, "{per_s} bytes a second");
+}
+
+#[test]
+fn a_new_configuration_is_reported_without_an_update_of_each_member() {
+    let mut net = deployment(9, 100);
+    net.run(20 * SECOND_US);
+    let before: Vec<_> = net
+        .nodes
+        .iter()
+        .map(|node| node.fleet.local_member().version)
+        .collect();
+    for node in &mut net.nodes[1..] {
+        node.fleet.set_revision(Revision(7));
+    }
+    let knows = |net: &Net| {
+        let newest = net.nodes[0].fleet.newest_config();
+        newest.is_some_and(|newest| newest.revision == Revision(7))
+    };
+    let took_us = net.run_until(5 * SECOND_US, knows);
+    assert!(
+        took_us.is_some_and(|took_us| took_us <= SECOND_US),
+        "{took_us:?}"
+    );
+    let after = net
+        .nodes
+        .iter()
+        .map(|node| node.fleet.local_member().version);
+    assert!(after.eq(before));
+}
+
+#[test]
+fn a_stored_record_replaces_only_older_ones() {
+    let mut net = deployment(10, 8);
+    let mut stored = net.nodes[1].fleet.local_member().clone();
+    let drained = net.nodes[1].fleet.local_member().worker.clone();
+    let mut drained = drained.unwrap();
+    drained.draining = true;
+    net.nodes[1].fleet.set_worker(Some(drained));
+    let name = name(&net, 1);
+    let drains = |member: &Member| member.worker.as_ref().is_some_and(|held| held.draining);
+    net.run_until(10 * SECOND_US, |net| all_views(net, &name, drains))
+        .expect("the drain is known");
+    let now_us = net.now_us;
+    let observer = &mut net.nodes[0].fleet;
+    observer.merge_stored(&stored, now_us);
+    assert!(drains(observer.member(&name).unwrap()));
+    // The record of a later incarnation replaces it.
+    stored.generation.0 += 1;
+    observer.merge_stored(&stored, now_us);
+    assert!(!drains(observer.member(&name).unwrap()));
+}
