Let one task call a lost store, list less often and compare digests each second

A fleet of 300 that started together took over 60 s of virtual time until the last daemon knew all others, since anti-entropy compared one of 16 parts each 5 s.

Change: while the store is lost, only the watch of the configuration calls it and the others wait; pages are read again only while few members are known; digests go each second, mostly to members nearby.

--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -363,12 +363,11 @@
         self.ping(to, Some(key), Target::Contact, true, now_us, out);
     }
 
-    /// Draws the live members that receive the updates of one gossip round.
-    pub(super) fn gossip_targets(&mut self) -> Vec<MemberKey> {
-        let fanout = self.rules.gossip_fanout;
+    /// Draws the live members that receive the updates of one round.
+    pub(super) fn round_targets(&mut self, count: usize) -> Vec<MemberKey> {
         match self.rules.scope {
-            Scope::DataCentre => self.random_live_peers(fanout, None),
-            Scope::Deployment => (0..fanout)
+            Scope::DataCentre => self.random_live_peers(count, None),
+            Scope::Deployment => (0..count)
                 .filter_map(|_| self.random_peer_nearby())
                 .collect(),
         }
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -131,7 +131,7 @@
 
     /// Sends queued updates to a few random members.
     pub(super) fn gossip_round(&mut self, _now_us: u64, out: &mut Vec<Outgoing>) {
-        for key in self.gossip_targets() {
+        for key in self.round_targets(self.rules.gossip_fanout) {
             if self.updates.len() == 0 {
                 return;
             }
@@ -147,7 +147,7 @@
 
     /// Sends the digest of the next partition of the key space to a random member.
     pub(super) fn sync_round(&mut self, out: &mut Vec<Outgoing>) {
-        let Some(key) = self.random_live_peers(1, None).pop() else {
+        let Some(key) = self.round_targets(1).pop() else {
             return;
         };
         let records = self.peers.len() + 1 + self.remote.all_summaries().len();
--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -34,10 +34,15 @@
 /// peer. The watch of the store usually delivers it sooner.
 const CONFIG_CHECKS: u32 = 2;
 
+/// Interval between anti-entropy rounds. Each compares one part of the key space, and the group is
+/// larger than that of one data centre.
+const SYNC_INTERVAL_US: u64 = 1_000_000;
+
 /// Rules of the membership protocol on the platform.
 pub fn rules() -> FleetRules {
     FleetRules {
         scope: Scope::Deployment,
+        sync_interval_us: SYNC_INTERVAL_US,
         ..FleetRules::default()
     }
 }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -3,8 +3,9 @@
 //!
 //! The number of calls does not depend on the size of the fleet. A started daemon reads one page of
 //! entries, which begins with its own; the other members come from gossip. It reads a page again
-//! soon after the start, at long intervals, after an outage of the store, and after the store has
-//! come back from an older copy. This joins parts of the fleet that do not know each other.
+//! while it knows few members, at long intervals, and after the store has come back from an older
+//! copy. This joins parts of the fleet that do not know each other. While the store is lost, only
+//! one task calls it.
 
 use {
     crate::{
@@ -46,15 +47,15 @@
 /// keep-alive probes.
 const WATCH_TIMEOUT_MS: u64 = 30_000;
 
-/// Delay until entries are read a second time, when all daemons that started together have written
-/// theirs.
-const SECOND_LISTING_MS: u64 = 3_000;
+/// Mean interval between listings.
+const LISTING_INTERVAL_MS: u64 = 300_000;
 
-/// Mean interval between further listings.
-const LISTING_INTERVAL_MS: u64 = 60_000;
+/// Interval between the first listings while few members are known, as after a start of the whole
+/// fleet; doubled after each one.
+const FEW_LISTING_MS: u64 = 2_000;
 
-/// Interval between listings while no other daemon is known.
-const ALONE_LISTING_MS: u64 = 1_000;
+/// Number of live members, this daemon included, that count as few.
+const FEW_MEMBERS: usize = 3;
 
 /// Number of entries in a page that are enough to join the fleet.
 const MIN_CONTACTS: usize = 32;
@@ -69,6 +70,8 @@
     entry_stale: Event,
     /// Notified when entries have to be listed again.
     listing_due: Event,
+    /// Notified when the store answers again.
+    regained: Event,
     /// Notified when the store has come back from an older copy.
     era_risen: Event,
     /// Number of times that it has.
@@ -123,12 +126,19 @@
         }
         if self.is_store_lost.replace(false) {
             tracing::info!("store regained");
+            self.regained.notify(usize::MAX);
             self.wake();
-            self.listing_due.notify(usize::MAX);
         }
         Ok(value)
     }
 
+    /// Waits while the store is lost. The watch of the configuration finds out when it answers.
+    async fn wait_regained(&self) {
+        while self.is_store_lost.get() {
+            self.regained.listen().await;
+        }
+    }
+
     fn record_failure(&self, error: &StoreError) {
         if !self.is_store_lost.replace(true) {
             tracing::warn!(%error, "store lost");
@@ -166,6 +176,7 @@
     let mut backoff = Backoff::new();
     while let Err(error) = list(&mesh, Freshness::Latest).await {
         tracing::debug!(%error, "listing the entries failed");
+        mesh.registry.wait_regained().await;
         backoff.wait(&mesh).await;
     }
     let mut own = OwnEntry::default();
@@ -185,6 +196,7 @@
         }
         if let Err(error) = refreshed {
             tracing::debug!(%error, "maintaining the own entry failed");
+            mesh.registry.wait_regained().await;
             backoff.wait(&mesh).await;
             continue;
         }
@@ -235,26 +247,30 @@
     }
 }
 
-/// Lists entries at intervals, and when the store has been away.
+/// Lists entries at intervals.
 pub async fn watch_contacts(mesh: Rc<Mesh>) {
-    let mut wait_ms = SECOND_LISTING_MS;
+    let mut few_interval_ms = FEW_LISTING_MS;
     loop {
         let due = mesh.registry.listing_due.listen();
-        let is_alone = mesh.fleet.borrow().live_members() == 1;
-        let wait = if is_alone { ALONE_LISTING_MS } else { wait_ms };
-        let asked = matches!(select(due, pin!(sleep_ms(wait))).await, Either::Left(_));
-        // The daemons of a fleet spread their listings after an outage.
-        if asked {
-            let spread_ms = mesh.rng.borrow_mut().random_range(0..ALONE_LISTING_MS);
+        let knows_few = mesh.fleet.borrow().live_members() <= FEW_MEMBERS;
+        let interval_ms = if knows_few {
+            few_interval_ms
+        } else {
+            few_interval_ms = FEW_LISTING_MS;
+            LISTING_INTERVAL_MS
+        };
+        few_interval_ms = (few_interval_ms * 2).min(LISTING_INTERVAL_MS);
+        let jitter: f64 = mesh.rng.borrow_mut().random_range(0.5..1.5);
+        let wait = sleep_ms((interval_ms as f64 * jitter) as u64);
+        if let Either::Left(_) = select(due, pin!(wait)).await {
+            // Spreads the listings of a fleet.
+            let spread_ms = mesh.rng.borrow_mut().random_range(0..FEW_LISTING_MS);
             sleep_ms(spread_ms).await;
         }
+        mesh.registry.wait_regained().await;
         if let Err(error) = list(&mesh, Freshness::Stale).await {
             tracing::debug!(%error, "listing the entries failed");
-            wait_ms = SECOND_LISTING_MS;
-            continue;
         }
-        let jitter = mesh.rng.borrow_mut().random_range(0.5..1.5);
-        wait_ms = (LISTING_INTERVAL_MS as f64 * jitter) as u64;
     }
 }
 
