Report the share of failed requests in the load of a gate

Each of 96 daemons found that out by its own calls, about four a second to each worker, and forgot it within two seconds; meanwhile the fast refusals made the load of those workers look low, also to admission.

Change: the gate averages the failures of its worker over all requests (policy/failures) and reports the share in each reply; a sender uses the greater of its own and the reported share, and the load of a service counts the capacity less that share. Failures by downstream calls don't count.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -270,7 +270,7 @@
     }
 
     /// Load of a service relative to its capacity, in thousandths: in-flight and queued requests
-    /// over the sum of the limits. Counts the workers of this region, or all workers if there are
+    /// over the sum of the limits, less the share that workers fail. Counts the workers of this region, or all workers if there are
     /// none.
     pub fn load_permille(&self, service: &str, now_us: u64) -> u32 {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -284,7 +284,7 @@
                 |(requests, capacity), member| {
                     (
                         requests + member.estimated_requests(now_us),
-                        capacity + member.limit(),
+                        capacity + member.limit() * (1.0 - member.failure_share(now_us)),
                     )
                 },
             )
@@ -386,9 +386,16 @@
         !tried.contains(&worker.incarnation) && self.refused_incarnation != Some(worker.incarnation)
     }
 
+    /// Share of failed requests: the greater of the one observed here and the one that the gate
+    /// reported.
     fn failure_share(&self, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.failure_at_us) as f64;
-        self.failure_share * (-age_us / FAILURE_HALF_LIFE_US * std::f64::consts::LN_2).exp()
+        let reported = f64::from(self.load.failed_permille) / 1_000.0;
+        let observed = self.observed_failure_share(now_us);
+        observed.max(decayed(reported, self.load_at_us, now_us))
+    }
+
+    fn observed_failure_share(&self, now_us: u64) -> f64 {
+        decayed(self.failure_share, self.failure_at_us, now_us)
     }
 
     /// Number of requests that may run on the worker concurrently.
@@ -482,8 +489,14 @@
             }
             SendOutcome::Rejected | SendOutcome::Cancelled => return,
         };
-        let share = self.failure_share(now_us);
+        let share = self.observed_failure_share(now_us);
         self.failure_share = share + (failed - share) * FAILURE_WEIGHT;
         self.failure_at_us = now_us;
     }
 }
+
+/// Share of failures after the time since it was observed.
+fn decayed(share: f64, observed_us: u64, now_us: u64) -> f64 {
+    let age_us = now_us.saturating_sub(observed_us) as f64;
+    share * (-age_us / FAILURE_HALF_LIFE_US * std::f64::consts::LN_2).exp()
+}
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -116,6 +116,8 @@
     pub limit: u32,
     /// Mean running time on the worker.
     pub latency_us: u32,
+    /// Share of its recent requests that the worker failed, in thousandths.
+    pub failed_permille: u16,
 }
 
 /// Load of a service that a request or its downstream calls depend on.
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -12,7 +12,10 @@
             protocol::{RequestContext, WorkerReport},
             runtime::{now_us, sleep_until},
         },
-        policy::gate::{Arrival, Finish, Gate, GateDecision, WorkKey},
+        policy::{
+            failures::FailureShare,
+            gate::{Arrival, Finish, Gate, GateDecision, WorkKey},
+        },
         request::{Importance, Incarnation, Level, Rank, Reason, Refusal, ServiceName},
         waiting::{DecisionReceiver, GateWaiters},
     },
@@ -93,6 +96,7 @@
     departures: VecDeque<Departure>,
     gate: Gate,
     waiters: GateWaiters,
+    failures: FailureShare,
     /// Requests that run on the worker, by attempt id.
     pub running: HashMap<SmolStr, Running>,
     is_stopping: bool,
@@ -106,6 +110,7 @@
             departures: VecDeque::new(),
             gate,
             waiters: GateWaiters::default(),
+            failures: FailureShare::default(),
             running: HashMap::default(),
             is_stopping: false,
         }
@@ -162,6 +167,7 @@
             _ => {
                 self.gate.announce(report.slots, now_us);
                 self.gate.reset(now_us, &mut actions);
+                self.failures = FailureShare::default();
                 self.worker = Some(LocalWorker {
                     report,
                     is_down: false,
@@ -294,6 +300,7 @@
             queued: report.queued.values().sum::<usize>() as u32,
             limit: report.limit,
             latency_us: report.latency_us as u32,
+            failed_permille: self.failures.permille(),
         }
     }
 
@@ -321,6 +328,11 @@
         }
     }
 
+    /// Records whether the worker has failed a request.
+    fn record_result(&mut self, has_failed: bool) {
+        self.failures.record(has_failed, now_us());
+    }
+
     fn offer(&mut self, call: &Call, deadline_us: u64, now_us: u64) -> Result<GateEntry, Refusal> {
         let is_served = self.serving().is_some_and(|report| {
             report.incarnation.number() == call.worker && report.service == call.service
@@ -487,6 +499,13 @@
             Either::Right(_) => {
                 let refusal = Refusal::unknown(Reason::Deadline);
                 slot.finish = Finish::Failed;
+                // A request with downstream calls may have waited for those.
+                let mut gate = self.gate.borrow_mut();
+                let running = gate.running.get(&call.attempt_id);
+                if running.is_none_or(|running| !running.downstream.has_calls) {
+                    gate.record_result(true);
+                }
+                drop(gate);
                 return self.refusal_reply(call, refusal, true);
             }
         };
@@ -505,6 +524,7 @@
             }
             Err(error) => {
                 slot.finish = Finish::Failed;
+                self.gate.borrow_mut().record_result(true);
                 self.handle_exchange_error(call, &error)
             }
         }
@@ -554,6 +574,10 @@
         } else {
             Finish::Done
         };
+        let is_failure = answer.head.status >= 500 && !downstream.has_failure;
+        self.gate
+            .borrow_mut()
+            .record_result(metadata.is_not_run || is_failure);
         let mut payload = Vec::with_capacity(answer.body.len() + 512);
         answer.head.write_fields(&mut payload, |_| false);
         if !metadata.is_not_run {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod dedup;
 pub mod drain;
 pub mod ewma;
+pub mod failures;
 pub mod floor;
 pub mod gate;
 pub mod isolation;
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -13,6 +13,7 @@
             frame::GateLoad,
         },
         place::{DataCentre, Place, Region},
+        policy::failures::FailureShare,
         request::{Incarnation, Level},
     },
     std::{
@@ -23,10 +24,12 @@
 
 const SECOND_US: u64 = 1_000_000;
 const PLACES: [(&str, &str); 4] = [("a", "r"), ("b", "r"), ("c", "q"), ("d", "q")];
-const DAEMONS_IN_CENTRE: usize = 4;
 const SLOTS: u32 = 36;
 const WORK_US: f64 = 22_000.0;
 
+/// Time in which a worker sheds a call.
+const SHED_US: f64 = 1_000.0;
+
 /// Weight of one run in the mean latency that a gate reports.
 const MEAN_WEIGHT: f64 = 1.0 / 48.0;
 
@@ -43,6 +46,7 @@
     in_flight: u32,
     queue: VecDeque<usize>,
     mean_latency_us: f64,
+    failures: FailureShare,
 }
 
 struct Call {
@@ -52,11 +56,14 @@
     sent_us: u64,
     arrived_us: u64,
     started_us: u64,
+    is_shed: bool,
     load: GateLoad,
 }
 
 /// Load pattern of a simulation.
 struct LoadPattern {
+    /// Number of daemons in each data centre.
+    daemons_in_centre: usize,
     /// Load relative to the capacity.
     load: f64,
     /// Number of calls that arrive together at one daemon.
@@ -66,12 +73,16 @@
     seconds: u64,
     /// Factor on all running times at a time in milliseconds.
     slowdown: fn(u64) -> f64,
+    /// Share of the calls that each worker sheds.
+    shed_shares: [f64; 4],
 }
 
 /// Measurements of the second half of a simulation.
 #[derive(Debug, Default)]
 struct Measurements {
     calls: f64,
+    /// Share of calls that a worker shed.
+    shed: f64,
     /// Share of calls that left their data centre.
     left_centre: f64,
     /// Share of calls that left their region.
@@ -83,6 +94,7 @@
 }
 
 struct Simulation {
+    daemons_in_centre: usize,
     now_us: u64,
     events: BinaryHeap<Reverse<(u64, usize, Event)>>,
     event_count: usize,
@@ -123,9 +135,9 @@
 }
 
 impl Simulation {
-    fn new(speeds: [f64; 4], seed: u64) -> Self {
-        let directories = (0..PLACES.len() * DAEMONS_IN_CENTRE).map(|daemon| {
-            let (name, region) = PLACES[daemon / DAEMONS_IN_CENTRE];
+    fn new(speeds: [f64; 4], daemons_in_centre: usize, seed: u64) -> Self {
+        let directories = (0..PLACES.len() * daemons_in_centre).map(|daemon| {
+            let (name, region) = PLACES[daemon / daemons_in_centre];
             let mut directory = Directory::new(
                 DataCentre(name.into()),
                 Region(region.into()),
@@ -141,9 +153,11 @@
             in_flight: 0,
             queue: VecDeque::new(),
             mean_latency_us: 0.0,
+            failures: FailureShare::default(),
         };
         Self {
             now_us: SECOND_US,
+            daemons_in_centre,
             events: BinaryHeap::new(),
             event_count: 0,
             directories: directories.collect(),
@@ -187,6 +201,7 @@
         let seconds = pattern.seconds as f64 / 2.0;
         self.measured.wasted_slots /= seconds * 1e6 * f64::from(SLOTS) * PLACES.len() as f64;
         self.measured.waited_us /= self.measured.calls;
+        self.measured.shed /= self.measured.calls;
         self.measured.left_centre /= self.measured.calls;
         self.measured.left_region /= self.measured.calls;
         self.measured
@@ -213,8 +228,8 @@
         }
     }
 
-    fn network_delay_us(daemon: usize, worker: usize) -> u64 {
-        let centre = daemon / DAEMONS_IN_CENTRE;
+    fn network_delay_us(&self, daemon: usize, worker: usize) -> u64 {
+        let centre = daemon / self.daemons_in_centre;
         if centre == worker {
             200
         } else if PLACES[centre].1 == PLACES[worker].1 {
@@ -232,8 +247,8 @@
             draw -= part;
             draw < 0.0
         });
-        let first = centre.unwrap_or(0) * DAEMONS_IN_CENTRE;
-        let daemon = first + self.rng.random_range(0..DAEMONS_IN_CENTRE);
+        let first = centre.unwrap_or(0) * self.daemons_in_centre;
+        let daemon = first + self.rng.random_range(0..self.daemons_in_centre);
         for _ in 0..pattern.burst_size {
             self.call(daemon);
         }
@@ -247,7 +262,7 @@
         directory.record_send(choice.key);
         let worker: usize = choice.vm.strip_prefix("vm-").unwrap().parse().unwrap();
         if self.is_measuring() {
-            let centre = daemon / DAEMONS_IN_CENTRE;
+            let centre = daemon / self.daemons_in_centre;
             self.measured.calls += 1.0;
             self.measured.left_centre += f64::from(u8::from(centre != worker));
             self.measured.left_region += f64::from(u8::from(PLACES[centre].1 != PLACES[worker].1));
@@ -260,10 +275,11 @@
             sent_us: self.now_us,
             arrived_us: 0,
             started_us: 0,
+            is_shed: false,
             load: GateLoad::default(),
         });
         self.push(
-            self.now_us + Self::network_delay_us(daemon, worker),
+            self.now_us + self.network_delay_us(daemon, worker),
             Event::ReachWorker { call },
         );
     }
@@ -276,7 +292,13 @@
             self.workers[worker].in_flight += 1;
             let spread = self.rng.random_range(0.5..1.5);
             let slowdown = (pattern.slowdown)((self.now_us - SECOND_US) / 1_000);
-            let took_us = WORK_US * spread * slowdown / self.workers[worker].speed;
+            let is_shed = self.rng.random::<f64>() < pattern.shed_shares[worker];
+            self.calls[call].is_shed = is_shed;
+            let took_us = if is_shed {
+                SHED_US
+            } else {
+                WORK_US * spread * slowdown / self.workers[worker].speed
+            };
             self.calls[call].started_us = self.now_us;
             if self.is_measuring() {
                 self.measured.waited_us += (self.now_us - self.calls[call].arrived_us) as f64;
@@ -290,24 +312,32 @@
             worker,
             started_us,
             daemon,
+            is_shed,
             ..
         } = self.calls[call];
+        if is_shed && self.is_measuring() {
+            self.measured.shed += 1.0;
+        }
         let state = &mut self.workers[worker];
         state.in_flight -= 1;
+        state.failures.record(is_shed, self.now_us);
         let took_us = (self.now_us - started_us) as f64;
-        if state.mean_latency_us == 0.0 {
-            state.mean_latency_us = took_us;
+        if !is_shed {
+            if state.mean_latency_us == 0.0 {
+                state.mean_latency_us = took_us;
+            }
+            state.mean_latency_us += (took_us - state.mean_latency_us) * MEAN_WEIGHT;
         }
-        state.mean_latency_us += (took_us - state.mean_latency_us) * MEAN_WEIGHT;
         self.calls[call].load = GateLoad {
             in_flight: state.in_flight,
             queued: state.queue.len() as u32,
             limit: SLOTS,
             latency_us: state.mean_latency_us as u32,
+            failed_permille: state.failures.permille(),
         };
         self.start(worker, pattern);
         self.push(
-            self.now_us + Self::network_delay_us(daemon, worker),
+            self.now_us + self.network_delay_us(daemon, worker),
             Event::Reply { call },
         );
     }
@@ -315,9 +345,14 @@
     fn reply(&mut self, call: usize) {
         let call = &self.calls[call];
         let took_us = self.now_us - call.sent_us;
+        let outcome = if call.is_shed {
+            SendOutcome::Failed
+        } else {
+            SendOutcome::Answered { took_us }
+        };
         self.directories[call.daemon].record_outcome(
             call.choice.key,
-            SendOutcome::Answered { took_us },
+            outcome,
             Some(call.load),
             self.now_us,
         );
@@ -329,7 +364,7 @@
 /// Runs a load pattern with several seeds, and checks the measurements of each run.
 fn check_seeds(speeds: [f64; 4], pattern: &LoadPattern, check: impl Fn(&Measurements, &str)) {
     for seed in 1..=4 {
-        let measured = Simulation::new(speeds, seed).run(pattern);
+        let measured = Simulation::new(speeds, pattern.daemons_in_centre, seed).run(pattern);
         let context = format!("seed {seed}: {measured:?}");
         eprintln!("{context}");
         check(&measured, &context);
@@ -339,11 +374,13 @@
 #[test]
 fn no_queue_grows_while_another_data_centre_has_spare_capacity() {
     let pattern = LoadPattern {
+        daemons_in_centre: 4,
         load: 0.85,
         burst_size: 1,
         origin_shares: [0.25; 4],
         seconds: 8,
         slowdown: |_| 1.0,
+        shed_shares: [0.0; 4],
     };
     check_seeds(UNEQUAL_SPEEDS, &pattern, |measured, context| {
         // Calls wait for less than a tenth of their running time, and few slots are idle meanwhile.
@@ -356,11 +393,13 @@
 fn bursts_from_some_data_centres_use_the_slower_workers_too() {
     // This happens if the fast workers of the calling service make most of the calls.
     let pattern = LoadPattern {
+        daemons_in_centre: 4,
         load: 0.85,
         burst_size: 4,
         origin_shares: [0.4, 0.1, 0.4, 0.1],
         seconds: 8,
         slowdown: |_| 1.0,
+        shed_shares: [0.0; 4],
     };
     check_seeds(UNEQUAL_SPEEDS, &pattern, |measured, context| {
         assert!(measured.waited_us < WORK_US / 5.0, "{context}");
@@ -371,11 +410,13 @@
 #[test]
 fn calls_stay_in_their_data_centre_while_it_has_spare_capacity() {
     let pattern = LoadPattern {
+        daemons_in_centre: 4,
         load: 0.4,
         burst_size: 1,
         origin_shares: [0.25; 4],
         seconds: 8,
         slowdown: |_| 1.0,
+        shed_shares: [0.0; 4],
     };
     check_seeds(UNEQUAL_SPEEDS, &pattern, |measured, context| {
         assert!(measured.left_centre < 0.05, "{context}");
@@ -387,6 +428,7 @@
 fn workers_that_were_all_slow_for_a_while_are_all_used_again() {
     // This happens if a downstream service is overloaded for a short time.
     let pattern = LoadPattern {
+        daemons_in_centre: 4,
         load: 0.7,
         burst_size: 1,
         origin_shares: [0.25; 4],
@@ -395,6 +437,7 @@
             3_000..3_300 => 20.0,
             _ => 1.0,
         },
+        shed_shares: [0.0; 4],
     };
     check_seeds([1.0; 4], &pattern, |measured, context| {
         assert!(measured.waited_us < WORK_US / 10.0, "{context}");
@@ -421,6 +464,7 @@
             queued: 0,
             limit: SLOTS,
             latency_us,
+            failed_permille: 0,
         };
         let took_us = u64::from(latency_us);
         directory.record_outcome(
@@ -437,3 +481,23 @@
     assert!((2..50).contains(&while_slow), "{counts:?}");
     assert!(count(7, "vm-0") > 900, "{counts:?}");
 }
+
+/// Workers that shed calls finish them fast, so that their load looks low. Half of the workers shed
+/// most calls; the others have enough slots for all of them.
+#[test]
+fn workers_that_shed_most_calls_get_few_of_them() {
+    for share in [0.55, 0.9, 1.0] {
+        let pattern = LoadPattern {
+            daemons_in_centre: 48,
+            load: 0.45,
+            burst_size: 2,
+            origin_shares: [0.25; 4],
+            seconds: 10,
+            slowdown: |_| 1.0,
+            shed_shares: [share, 0.0, share, 0.0],
+        };
+        check_seeds([1.0; 4], &pattern, |measured, context| {
+            assert!(measured.shed < 0.03, "{share} {context}");
+        });
+    }
+}
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -57,6 +57,7 @@
         queued,
         limit: 10,
         latency_us,
+        failed_permille: 0,
     }
 }
 
