--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -176,6 +176,7 @@
             queued = load.queued,
             limit = load.limit,
             latency_us = load.latency_us,
+            failed_permille = load.failed_permille,
             clients = mesh.clients.get(),
             levels,
             "load"
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -165,6 +165,11 @@
         line("gate.queued", "gauge", u64::from(load.queued));
         line("gate.limit", "gauge", u64::from(load.limit));
         line("gate.latency_us", "gauge", u64::from(load.latency_us));
+        line(
+            "gate.failed_permille",
+            "gauge",
+            u64::from(load.failed_permille),
+        );
         line("clients", "gauge", self.clients.get() as u64);
         line(
             "requests.in_progress",
