Let calls of a class precede requests of their own class only

Cause: at a gate all downstream calls went before all clients' requests.

Change: Importance::at_gate orders calls of a class before requests of that class and behind requests of more important ones.

--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -21,10 +21,6 @@
     std::rc::Rc,
 };
 
-/// Offset added to the importance of clients' requests, so that the downstream calls of running
-/// requests take precedence over them: refusing such a call wastes the work done so far.
-const CLIENT_IMPORTANCE_OFFSET: u8 = 16;
-
 /// Request as received.
 #[derive(Debug)]
 pub struct Inbound {
@@ -117,7 +113,7 @@
         let parent = self.parent(&metadata.attempt_id);
         let service = self.round_robin.borrow_mut().next_service(&route);
         let mut request = RoutedRequest {
-            importance: Importance(route.importance.0.saturating_add(CLIENT_IMPORTANCE_OFFSET)),
+            importance: route.importance.at_gate(false),
             root_importance: route.importance,
             bucket: self.rng.borrow_mut().random(),
             depth: 0,
@@ -130,7 +126,7 @@
             metadata,
         };
         if let Some((id, running)) = parent {
-            request.importance = Importance(running.0.0.min(CLIENT_IMPORTANCE_OFFSET - 1));
+            request.importance = running.0.at_gate(true);
             request.root_importance = running.0;
             request.bucket = running.1;
             request.depth = running.2.saturating_add(1);
--- a/src/request.rs
+++ b/src/request.rs
@@ -26,6 +26,19 @@
 #[display("{_0}")]
 pub struct Importance(pub u8);
 
+impl Importance {
+    /// Importance at a gate of a client's request of this class, or of a downstream call of one.
+    ///
+    /// Refusing a downstream call wastes the work done so far, so calls go before requests of their
+    /// own class. They don't go before requests of more important classes: a costly class would
+    /// take the whole of a scarce service, whatever its importance.
+    #[must_use]
+    pub fn at_gate(self, is_downstream: bool) -> Self {
+        let own = u8::from(!is_downstream);
+        Self(self.0.min(u8::MAX / 2) * 2 + own)
+    }
+}
+
 /// Order in which requests are shed: the importance first, then a stable hash of the request.
 ///
 /// The same request has the same rank at every hop. Smaller ranks are kept longer.
--- a/tests/load_gate.rs
+++ b/tests/load_gate.rs
@@ -487,6 +487,42 @@
     check_overload(&plan, 4.0, 2);
 }
 
+/// A costly class of low importance makes many calls to a scarce service, and more than it can run.
+/// Requests of a more important class to the same service are still served.
+#[test]
+fn requests_of_an_important_class_go_before_calls_of_a_less_important_one() {
+    let reads = Importance(1).at_gate(false).0;
+    let calls = Importance(2).at_gate(true).0;
+    let requests = Importance(2).at_gate(false).0;
+    assert!(reads < calls && calls < requests);
+    let mut mix = vec![0.0; usize::from(requests) + 1];
+    mix[usize::from(reads)] = 0.15;
+    mix[usize::from(calls)] = 0.7;
+    mix[usize::from(requests)] = 0.15;
+    for factor in [1.2, 2.0] {
+        let plan = Plan {
+            mix: mix.clone(),
+            load: vec![(0, 0.7), (3 * SECOND_US, factor)],
+            ..Plan::ledger()
+        };
+        let tally = Simulation::run(plan, 4 * SECOND_US);
+        let shares = [reads, calls, requests].map(|class| tally.served_share(class));
+        assert!(shares[0] >= 0.99, "x{factor}: {shares:?}");
+        assert!(shares[1] > shares[2], "x{factor}: {shares:?}");
+    }
+}
+
+#[test]
+fn every_class_keeps_its_place_at_the_gate() {
+    let importances = [0, 1, 2, 16, 100, 127].map(Importance);
+    let places: Vec<_> = importances
+        .iter()
+        .flat_map(|class| [class.at_gate(true), class.at_gate(false)])
+        .collect();
+    assert!(places.is_sorted());
+    assert_eq!(Importance(255).at_gate(false), Importance(255));
+}
+
 fn check_recovery(plan: &Plan, weight_percent: u8) {
     for edge in EDGES {
         for resends in [0, 100] {
