Reduce the work of a class by the share of it that fails downstream

Change: answers report whether a request failed by its downstream calls; the edge scales the work that a class may cause by the share that completes, down to 0.6. Without overload nothing is refused, as the allowed work is then a multiple of the admitted work.

--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -191,7 +191,7 @@
         let sent = self.handle_reply(
             request, choice, open_send, &reply, payload, history, sent_us,
         );
-        self.record_service_load(request, most_loaded.as_ref());
+        self.record_service_load(request, most_loaded.as_ref(), history.downstream_failed);
         sent
     }
 
@@ -271,7 +271,12 @@
     /// Records the most loaded service that a request depends on: its own service, by the load of
     /// all known workers, or a service reached by its downstream calls. A downstream call reports
     /// it to its parent request, a client's request to admission control.
-    fn record_service_load(&self, request: &RoutedRequest, downstream: Option<&ServiceLoad>) {
+    fn record_service_load(
+        &self,
+        request: &RoutedRequest,
+        downstream: Option<&ServiceLoad>,
+        has_failed: bool,
+    ) {
         let now_us = now_us();
         let own = ServiceLoad {
             service: request.service.clone(),
@@ -295,6 +300,7 @@
             service: &most_loaded.service,
             load_permille: most_loaded.load_permille,
             calls: most_loaded.calls,
+            has_failed,
         };
         let (class, importance) = (&request.route.name, request.route.importance);
         let mut admission = self.admission.borrow_mut();
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -7,6 +7,10 @@
 //! load. The resulting budget is allocated by importance. A class that does not fit is admitted in
 //! part; its other requests are refused at once, before they cost any work.
 //!
+//! The work of a class is reduced by the share of its requests that fail downstream: an admitted
+//! request that makes many calls to a nearly full service is likely to lose one of them, and the
+//! work done for it is wasted.
+//!
 //! The budget limits the amount of work, not the share of requests, so a burst is limited as soon
 //! as it arrives, before the load of the service reflects it.
 
@@ -60,6 +64,10 @@
 /// Smallest admitted share of a class. The admitted requests report the current load.
 const PROBE_SHARE: f64 = 0.03;
 
+/// Lower bound of the factor on the work of a class whose requests fail downstream, since not every
+/// failure is caused by overload.
+const MIN_COMPLETING_SHARE: f64 = 0.6;
+
 /// Weight of one report in the averages of a class's calls and load.
 const REPORT_WEIGHT: f64 = 0.05;
 
@@ -102,6 +110,8 @@
     pub load_permille: u32,
     /// Calls that the request made to it.
     pub calls: u32,
+    /// Whether the request failed because of its downstream calls.
+    pub has_failed: bool,
 }
 
 #[derive(Debug)]
@@ -111,6 +121,8 @@
     /// Average number of calls that one request makes to the bottleneck.
     calls: f64,
     load_permille: f64,
+    /// Average share of the requests that fail because of their downstream calls.
+    failed_share: f64,
     seen_us: u64,
     offered: Rate,
     admitted: Rate,
@@ -180,6 +192,10 @@
     ) {
         let load = f64::from(bottleneck.load_permille);
         let calls = f64::from(bottleneck.calls.max(1));
+        if let Some(known) = self.classes.get_mut(class) {
+            let failed = f64::from(u8::from(bottleneck.has_failed));
+            known.failed_share += (failed - known.failed_share) * REPORT_WEIGHT;
+        }
         match self.classes.get_mut(class) {
             Some(known) if known.bottleneck == *bottleneck.service => {
                 known.load_permille += (load - known.load_permille) * REPORT_WEIGHT;
@@ -206,6 +222,7 @@
                     bottleneck: bottleneck.service.clone(),
                     calls,
                     load_permille: load,
+                    failed_share: 0.0,
                     seen_us: now_us,
                     offered: Rate::default(),
                     admitted: Rate::default(),
@@ -278,11 +295,13 @@
         .sum();
     let mut remaining = admitted_work * factor;
     for class in affected {
+        let completing_share = (1.0 - class.failed_share).max(MIN_COMPLETING_SHARE);
+        let remaining_for_class = remaining * completing_share;
         let offered_work = class.offered.get(OFFERED_TAU_US, now_us) * class.calls;
-        class.share = if offered_work <= remaining {
+        class.share = if offered_work <= remaining_for_class {
             1.0
         } else {
-            (remaining / offered_work).clamp(PROBE_SHARE, 1.0)
+            (remaining_for_class / offered_work).clamp(PROBE_SHARE, 1.0)
         };
         remaining -= offered_work * class.share;
         remaining = remaining.max(0.0);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,11 +1,14 @@
 //! Load pattern: several classes of requests call the same small service deep in the call graph.
 
 use {
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     shallotdeal::{
         policy::admission::{Admission, BottleneckLoad, Verdict},
         request::{Importance, ServiceName},
     },
     smol_str::SmolStr,
+    std::collections::VecDeque,
 };
 
 /// Class of requests: name, importance, arrivals per second, calls per request to the bottleneck.
@@ -16,7 +19,7 @@
 fn admitted_shares(classes: &[Class], capacity_per_s: f64, seconds: u32) -> Vec<f64> {
     let mut admission = Admission::default();
     let bottleneck = ServiceName::from("scarce");
-    let mut recent = std::collections::VecDeque::from(vec![0.0; 30]);
+    let mut recent = VecDeque::from(vec![0.0; 30]);
     let mut admitted = vec![0_u32; classes.len()];
     let mut offered = vec![0_u32; classes.len()];
     let mut credit = vec![0.0; classes.len()];
@@ -41,6 +44,7 @@
                         service: &bottleneck,
                         load_permille,
                         calls: *calls,
+                        has_failed: false,
                     };
                     admission.report(&class, Importance(*importance), report, now_us);
                 }
@@ -96,6 +100,7 @@
                 service: &bottleneck,
                 load_permille: 700,
                 calls: 8,
+                has_failed: false,
             };
             admission.report(&read, Importance(1), report, now_us);
         }
@@ -115,6 +120,7 @@
         service: &bottleneck,
         load_permille: 3_000,
         calls: 1,
+        has_failed: false,
     };
     for step in 0..600 {
         let now_us = 1_000_000 + step * 10_000;
@@ -144,6 +150,7 @@
         service: &bottleneck,
         load_permille: 900,
         calls: 1,
+        has_failed: false,
     };
     // Ten requests per second from the start, below the capacity of the service.
     for number in 0..100_u64 {
@@ -164,7 +171,7 @@
     // start.
     let mut admission = Admission::default();
     let (read, bottleneck) = (SmolStr::from("read"), ServiceName::from("scarce"));
-    let mut recent = std::collections::VecDeque::from(vec![0.0; 30]);
+    let mut recent = VecDeque::from(vec![0.0; 30]);
     let mut admitted = 0.0;
     for step in 0..200_u64 {
         let now_us = 1_000_000 + step * 10_000;
@@ -178,6 +185,7 @@
                     service: &bottleneck,
                     load_permille: (load * 1_000.0) as u32,
                     calls: 10,
+                    has_failed: false,
                 };
                 admission.report(&read, Importance(1), report, now_us);
             }
@@ -191,3 +199,53 @@
     // Admitted during the second second; the capacity of the service is 1,500.
     assert!((900.0..1_950.0).contains(&admitted), "{admitted}");
 }
+
+/// Requests that make eight calls to a service that refuses some calls when it is nearly full: each
+/// lost call fails the whole request. Most of the admitted requests must succeed, and the service
+/// must be used.
+#[test]
+fn requests_that_would_lose_a_call_downstream_are_refused_at_the_edge() {
+    const CALLS: u32 = 8;
+    const CAPACITY_PER_STEP: f64 = 40.0;
+    const REQUESTS_PER_STEP: u32 = 10;
+    let mut admission = Admission::default();
+    let (read, bottleneck) = (SmolStr::from("read"), ServiceName::from("scarce"));
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut recent = VecDeque::from(vec![0.0; 30]);
+    let (mut admitted, mut failed, mut used) = (0.0, 0.0, 0.0);
+    for step in 0..3_000_u64 {
+        let now_us = 1_000_000 + step * 10_000;
+        let load = recent.iter().sum::<f64>() / (CAPACITY_PER_STEP * 30.0);
+        let refused_call_share = f64::max(load - 0.8, 0.0);
+        let mut work = 0.0;
+        for _ in 0..REQUESTS_PER_STEP {
+            if admission.decide(&read, rng.random(), now_us) != Verdict::Admit {
+                continue;
+            }
+            let calls_until_loss = (0..CALLS)
+                .take_while(|_| rng.random::<f64>() >= refused_call_share)
+                .count() as u32;
+            let has_failed = calls_until_loss < CALLS;
+            work += f64::from(calls_until_loss);
+            if step >= 1_500 {
+                admitted += 1.0;
+                failed += f64::from(u8::from(has_failed));
+            }
+            let report = BottleneckLoad {
+                service: &bottleneck,
+                load_permille: (load * 1_000.0) as u32,
+                calls: CALLS,
+                has_failed,
+            };
+            admission.report(&read, Importance(2), report, now_us);
+        }
+        if step >= 1_500 {
+            used += work / (CAPACITY_PER_STEP * 1_500.0);
+        }
+        recent.pop_front();
+        recent.push_back(work);
+    }
+    let failed_share = failed / admitted;
+    assert!(failed_share < 0.25, "failed {failed_share}, used {used}");
+    assert!(used > 0.7, "failed {failed_share}, used {used}");
+}
