Bound the wait of store calls while the watch of the configuration waits

Cause: found by reading. A call that fails once, such as a write whose answer is lost, marked the store as lost, and every task but the watch of the configuration then waited for its next answer, up to 30 s; a departure was not written and the lease of 15 s ran out meanwhile.

Change: the others wait only while the watch itself fails, and at most 2 s.

Test: the_lease_is_renewed_after_lost_answers_while_the_watch_waits, failed before.

--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -4,7 +4,7 @@
 //! The number of calls does not depend on the size of the fleet. A started daemon reads one page of
 //! entries, which begins with its own; the other members come from gossip. It reads a page again
 //! while it knows few members, at long intervals, and after the store has come back from an older
-//! copy. This joins parts of the fleet that do not know each other. While the store is lost, only
+//! copy. This joins parts of the fleet that do not know each other. While the store is lost, mostly
 //! one task calls it.
 
 use {
@@ -43,6 +43,9 @@
 /// the store.
 const BACKOFF_MAX_MS: u64 = 600;
 
+/// Longest delay of a failed call while the watch of the configuration fails too.
+const LOST_RETRY_MS: u64 = 2_000;
+
 /// Longest wait of one watch call that the platform allows; a dead connection is detected by its
 /// keep-alive probes.
 const WATCH_TIMEOUT_MS: u64 = 30_000;
@@ -70,8 +73,9 @@
     entry_stale: Event,
     /// Notified when entries have to be listed again.
     listing_due: Event,
-    /// Notified when the store answers again.
+    /// Notified when the watch of the configuration succeeds again.
     regained: Event,
+    is_watch_failing: Cell<bool>,
     /// Notified when the store has come back from an older copy.
     era_risen: Event,
     /// Number of times that it has.
@@ -126,16 +130,23 @@
         }
         if self.is_store_lost.replace(false) {
             tracing::info!("store regained");
-            self.regained.notify(usize::MAX);
             self.wake();
         }
         Ok(value)
     }
 
-    /// Waits while the store is lost. The watch of the configuration finds out when it answers.
+    /// Waits while the watch of the configuration fails, which shows whether the store answers; at
+    /// most [`LOST_RETRY_MS`].
     async fn wait_regained(&self) {
-        while self.is_store_lost.get() {
-            self.regained.listen().await;
+        let regained = self.regained.listen();
+        if self.is_watch_failing.get() {
+            select(regained, pin!(sleep_ms(LOST_RETRY_MS))).await;
+        }
+    }
+
+    fn record_watch(&self, has_failed: bool) {
+        if self.is_watch_failing.replace(has_failed) && !has_failed {
+            self.regained.notify(usize::MAX);
         }
     }
 
@@ -308,9 +319,13 @@
             cursor = None;
         }
         match result {
-            Ok(()) => backoff = Backoff::new(),
+            Ok(()) => {
+                mesh.registry.record_watch(false);
+                backoff = Backoff::new();
+            }
             Err(error) => {
                 tracing::debug!(%error, "watching the configuration failed");
+                mesh.registry.record_watch(true);
                 backoff.wait(&mesh).await;
             }
         }
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -266,6 +266,8 @@
 pub(crate) struct VmStore {
     store: Rc<TestStore>,
     pub(crate) is_unreachable: Cell<bool>,
+    /// Number of writes whose answers are lost, although the writes are done.
+    pub(crate) lost_answers: Cell<u32>,
 }
 
 impl VmStore {
@@ -296,7 +298,17 @@
 
     async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> StoreResult<bool> {
         self.check()?;
-        self.store.put(key, value, lease).await
+        let answered = self.store.put(key, value, lease).await;
+        let lost_answers = self.lost_answers.get();
+        if lost_answers > 0 {
+            self.lost_answers.set(lost_answers - 1);
+            return Err(StoreError::Uncertain {
+                step: "call",
+                peer: "store".into(),
+                detail: "answer lost".into(),
+            });
+        }
+        answered
     }
 
     async fn grant(&self, ttl_ms: u64) -> StoreResult<LeaseId> {
@@ -631,6 +643,7 @@
     let store = Rc::new(VmStore {
         store: Rc::clone(store),
         is_unreachable: Cell::new(false),
+        lost_answers: Cell::new(0),
     });
     let seed = u64::from(settings.calls_addr.port()) + started_unix_ms;
     let mesh = Mesh::new(Parts {
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -183,3 +183,22 @@
         assert_eq!(fleet.request("GET", "/read/x", "id").await.head.status, 200);
     });
 }
+
+#[test]
+fn the_lease_is_renewed_after_lost_answers_while_the_watch_waits() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let vm = &fleet.vms[0];
+        vm.store.lost_answers.set(2);
+        vm.leave_worker();
+        eventually("both answers lost", || vm.store.lost_answers.get() == 0).await;
+        let price = fleet.store.price.get();
+        // The watch of the configuration still waits; it would return after 30 s.
+        eventually("the entry is written or its lease renewed", || {
+            fleet.store.price.get() >= price + 10
+        })
+        .await;
+        fleet.store.expire_leases();
+        eventually("entry written again", || fleet.store.keys().len() == 3).await;
+    });
+}
