Count the sources of configurations and the work of their watch

The record of the configuration incident cannot tell a malformed version from a watch that has stopped or lags: only the version in force is exposed. Versions are now counted by source, reads, delivered versions, failures of the watch and requests to peers are counted, the newest version that peers report is a gauge, and the line 'configuration in force' carries the size of the document.

--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -130,6 +130,7 @@
             call_addr,
         } = newest;
         tracing::info!(version = revision.0, peer = %call_addr, "fetching a newer configuration");
+        mesh.metrics.count("config.fetched");
         let link = mesh.link(call_addr);
         if let Err(error) = link.notify(&mesh, &frame::Message::ConfigWanted).await {
             tracing::info!(%error, "fetching the configuration failed");
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -124,6 +124,28 @@
     stopping_since_us: Cell<Option<u64>>,
 }
 
+/// Origin of a configuration document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum ConfigSource {
+    /// The platform's store.
+    #[display("store")]
+    Store,
+    /// Another daemon.
+    #[display("peer")]
+    Peer,
+}
+
+impl ConfigSource {
+    /// Name of the counter of versions that came into force from this source.
+    fn counter(self) -> &'static str {
+        match self {
+            Self::Store => "config.from_store",
+            Self::Peer => "config.from_peer",
+        }
+    }
+}
+
 /// Inputs for building a [`Mesh`].
 pub struct Parts {
     /// Settings of the process.
@@ -273,12 +295,12 @@
 
     /// Applies a configuration document. A malformed one, or one that is not newer than the
     /// configuration in force, is ignored.
-    pub fn apply_config(self: &Rc<Self>, document: &[u8], source: &'static str) {
+    pub fn apply_config(self: &Rc<Self>, document: &[u8], source: ConfigSource) {
         let table = match self.protocol.decode_config(document) {
             Ok(table) => table,
             Err(error) => {
                 self.metrics.count("config.refused");
-                tracing::warn!(%error, source, in_force = %self.config_version(),
+                tracing::warn!(%error, %source, in_force = %self.config_version(),
                     "malformed configuration ignored");
                 return;
             }
@@ -287,8 +309,9 @@
         if self.routes.borrow().is_some() && table.version <= in_force {
             return;
         }
-        tracing::info!(version = %table.version, replaced = %in_force, source,
-            routes = table.len(), "configuration in force");
+        tracing::info!(version = %table.version, replaced = %in_force, %source,
+            routes = table.len(), bytes = document.len(), "configuration in force");
+        self.metrics.count(source.counter());
         self.fleet
             .borrow_mut()
             .set_revision(Revision(table.version.0));
@@ -310,7 +333,7 @@
                     outbox.push(&Message::Config, &[&document]);
                 }
             }
-            Message::Config => self.apply_config(payload, "peer"),
+            Message::Config => self.apply_config(payload, ConfigSource::Peer),
             Message::Crashes(crashes) => self.merge_crashes(crashes),
             Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
                 self.metrics.count("peers.unexpected");
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -177,6 +177,12 @@
             self.in_progress.get() as u64,
         );
         line("config.version", "gauge", self.config_version().0);
+        let newest = self
+            .fleet
+            .borrow()
+            .newest_config()
+            .map_or(0, |newest| newest.revision.0);
+        line("config.newest_reported", "gauge", newest);
         line(
             "directory.daemons",
             "gauge",
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -10,7 +10,7 @@
 use {
     crate::{
         mesh::{
-            Mesh,
+            ConfigSource, Mesh,
             entry::{self, Entry},
             era::{EraCheck, EraTracker},
             protocol::{Answered, Freshness, StoreChange, StoreEntry, StoreResult, WatchResult},
@@ -325,6 +325,7 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "watching the configuration failed");
+                mesh.metrics.count("config.watch_failed");
                 mesh.registry.record_watch(true);
                 backoff.wait(&mesh).await;
             }
@@ -336,10 +337,11 @@
     let key = mesh.protocol.config_key();
     let apply = |entry: StoreEntry| {
         if entry.key == key {
-            mesh.apply_config(&entry.value, "store");
+            mesh.apply_config(&entry.value, ConfigSource::Store);
         }
     };
     let Some(after) = *cursor else {
+        mesh.metrics.count("config.read");
         let page = mesh.store.list(key, "", Freshness::Latest).await;
         let page = mesh.registry.accept("read configuration", page)?;
         *cursor = Some(page.revision);
@@ -351,6 +353,7 @@
         WatchResult::Compacted => *cursor = None,
         WatchResult::Changes { changes, revision } => {
             *cursor = Some(revision);
+            mesh.metrics.add("config.watched", changes.len() as u64);
             for change in changes {
                 match change {
                     StoreChange::Put(entry) => apply(entry),
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -32,6 +32,8 @@
     },
 };
 
+/// Key of the configuration in the store.
+const CONFIG_KEY: &str = "op/config";
 pub(crate) const ATTEMPT: &str = "X-Shallotdeal-Attempt-Id";
 const STAMP: &str = "X-Shallotdeal-Response-Stamp";
 
@@ -266,11 +268,22 @@
 pub(crate) struct VmStore {
     store: Rc<TestStore>,
     pub(crate) is_unreachable: Cell<bool>,
+    /// Whether the store takes watches of this VM and never answers them.
+    pub(crate) swallows_watches: Cell<bool>,
+    /// Number of watches that get no answer.
+    pub(crate) swallowed_watches: Cell<u32>,
+    /// Number of configuration documents that the store has sent to this VM.
+    pub(crate) received_configs: Cell<usize>,
     /// Number of writes whose answers are lost, although the writes are done.
     pub(crate) lost_answers: Cell<u32>,
 }
 
 impl VmStore {
+    fn count_configs(&self, count: usize) {
+        self.received_configs
+            .set(self.received_configs.get() + count);
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         if self.is_unreachable.get() {
             return Err(StoreError::Unavailable {
@@ -287,12 +300,27 @@
 impl PlatformStore for VmStore {
     async fn list(&self, prefix: &str, after: &str, freshness: Freshness) -> StoreResult<Page> {
         self.check()?;
-        self.store.list(prefix, after, freshness).await
+        let page = self.store.list(prefix, after, freshness).await?;
+        if prefix == CONFIG_KEY {
+            self.count_configs(page.value.entries.len());
+        }
+        Ok(page)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> StoreResult<WatchResult> {
+        if self.swallows_watches.get() {
+            self.swallowed_watches.set(self.swallowed_watches.get() + 1);
+            std::future::pending::<()>().await;
+        }
         let watched = self.store.watch(prefix, after, wait_ms).await;
         self.check()?;
+        if let Ok(Answered {
+            value: WatchResult::Changes { changes, .. },
+            ..
+        }) = &watched
+        {
+            self.count_configs(changes.len());
+        }
         watched
     }
 
@@ -560,7 +588,7 @@
     /// Starts VMs of the service `shop` and waits until they have discovered each other.
     pub(crate) async fn start(count: usize) -> Self {
         let store = Rc::new(TestStore::default());
-        store.write("op/config", config(1, 1_500).as_bytes(), 0);
+        store.write(CONFIG_KEY, config(1, 1_500).as_bytes(), 0);
         let vms: Vec<Vm> = (0..count).map(|index| start(index, &store)).collect();
         let fleet = Self {
             store,
@@ -590,6 +618,12 @@
         self.vms[index] = vm;
     }
 
+    /// Writes a version of the configuration, as the operators do.
+    pub(crate) fn write_config(&self, version: u64) {
+        self.store
+            .write(CONFIG_KEY, config(version, 1_500).as_bytes(), 0);
+    }
+
     /// Number of requests that workers have received.
     pub(crate) fn received_requests(&self) -> usize {
         self.vms.iter().map(|vm| vm.worker.count()).sum()
@@ -643,6 +677,9 @@
     let store = Rc::new(VmStore {
         store: Rc::clone(store),
         is_unreachable: Cell::new(false),
+        swallows_watches: Cell::new(false),
+        swallowed_watches: Cell::new(0),
+        received_configs: Cell::new(0),
         lost_answers: Cell::new(0),
     });
     let seed = u64::from(settings.calls_addr.port()) + started_unix_ms;
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -105,6 +105,24 @@
     });
 }
 
+#[test]
+fn the_sources_of_configurations_are_counted() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let vm = &fleet.vms[0];
+        let in_force = |version| move || vm.mesh.config_version().0 == version;
+        fleet.write_config(2);
+        eventually("the version from the store", in_force(2)).await;
+        assert_eq!(vm.mesh.metrics.get("config.from_store"), 2);
+        vm.store.is_unreachable.set(true);
+        fleet.write_config(3);
+        eventually("the version from the peer", in_force(3)).await;
+        assert_eq!(vm.mesh.metrics.get("config.from_peer"), 1);
+        assert!(vm.mesh.metrics.get("config.fetched") > 0);
+        assert!(vm.mesh.metrics.get("config.watch_failed") > 0);
+    });
+}
+
 #[test]
 fn a_daemon_whose_entry_expired_stays_in_use_while_its_link_is_alive() {
     run(async {
