--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::harness::{Fleet, config, eventually, run},
-    shallotdeal::mesh::{entry, runtime::sleep_ms},
+    shallotdeal::{
+        config::Revision,
+        mesh::{entry, runtime::sleep_ms},
+    },
 };
 
 #[test]
@@ -105,6 +108,82 @@
     });
 }
 
+// Guards against a daemon that keeps an old configuration because the only peer it asks is gone.
+#[test]
+fn a_newer_configuration_is_fetched_although_its_first_reporter_has_died() {
+    run(async {
+        let fleet = Fleet::start(4).await;
+        let behind = &fleet.vms[0];
+        behind.store.is_unreachable.set(true);
+        fleet.write_config(7);
+        let reporter = || {
+            let members = behind.mesh.fleet.borrow();
+            let newest = members.newest_config()?;
+            (newest.revision == Revision(7)).then_some(newest.call_addr)
+        };
+        eventually("a report of the newer configuration", || {
+            reporter().is_some()
+        })
+        .await;
+        let first = reporter().expect("reported above");
+        let dead = fleet
+            .vms
+            .iter()
+            .find(|vm| vm.mesh.settings.calls_addr == first);
+        dead.expect("a daemon of the fleet").kill();
+        eventually("the newer configuration in force", || {
+            behind.mesh.config_version().0 == 7
+        })
+        .await;
+    });
+}
+
+// Guards against a watch that transfers every version of an outage, which takes longer than the
+// outage itself on a link that the whole region shares.
+#[test]
+fn versions_that_were_replaced_during_an_outage_are_not_transferred() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let vm = &fleet.vms[0];
+        vm.store.is_unreachable.set(true);
+        for version in 2..=40 {
+            fleet.write_config(version);
+        }
+        eventually("failure of the watch", || {
+            vm.mesh.metrics.get("config.watch_failed") > 0
+        })
+        .await;
+        let before = vm.store.received_configs.get();
+        vm.store.is_unreachable.set(false);
+        eventually("the last version in force", || {
+            vm.mesh.config_version().0 == 40
+        })
+        .await;
+        assert_eq!(vm.store.received_configs.get() - before, 1);
+    });
+}
+
+// Guards against a daemon that waits until the time limit of a watch whose request was lost, while
+// it depends on its peers for each version.
+#[test]
+fn a_watch_without_an_answer_is_replaced_when_peers_report_a_newer_version() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        let vm = &fleet.vms[0];
+        vm.store.swallows_watches.set(true);
+        fleet.write_config(2);
+        eventually("a lost watch", || vm.store.swallowed_watches.get() > 0).await;
+        vm.store.swallows_watches.set(false);
+        let before = vm.store.received_configs.get();
+        fleet.write_config(3);
+        eventually("a version from the store", || {
+            vm.store.received_configs.get() > before
+        })
+        .await;
+        assert_eq!(vm.mesh.config_version().0, 3);
+    });
+}
+
 #[test]
 fn the_sources_of_configurations_are_counted() {
     run(async {
