Keep tests of the mesh apart from each other

Seeds now hang on the VM's number, and the test explains a request that was refused for overload, and fails if there is none. The checks on its timeline are the same.

--- a/tests/mesh/explained.rs
+++ b/tests/mesh/explained.rs
@@ -3,15 +3,17 @@
 
 use {
     crate::{
-        harness::{Behaviour, Client, Fleet, run},
+        harness::{ATTEMPT, Behaviour, Client, Fleet, enable_log_lines, run},
         writers::{SharedBuffer, StalledWriter},
     },
     shallotdeal::{explain::Timeline, logs::mesh_log, mesh::runtime::now_us},
-    std::sync::mpsc,
+    smol_str::SmolStr,
+    std::{cell::RefCell, sync::mpsc},
 };
 
 /// Runs a test and returns the lines logged by all daemons during it.
 fn logged(test: impl Future<Output = ()>) -> String {
+    enable_log_lines();
     let buffer = SharedBuffer::default();
     let (log, subscriber) = mesh_log(tracing::Level::INFO, buffer.clone());
     tracing::subscriber::with_default(subscriber, || run(test));
@@ -31,22 +33,32 @@
 
 #[test]
 fn a_refusal_under_overload_is_explained() {
+    let refused = RefCell::new(SmolStr::default());
     let lines = logged(async {
         let fleet = Fleet::start(1).await;
         fleet.set_behaviour(Behaviour::Answer { after_ms: 700 });
         let mut clients = Vec::new();
-        for number in 0..80 {
+        for number in 0..81 {
             let client = Client::connect(&fleet.vms[0]).await;
             let id = format!("load-{number}");
             client.send("GET", "/read/x", &id, "", b"").await;
             clients.push(client);
         }
-        let response = fleet.request("GET", "/read/x", "complained").await;
-        assert!(matches!(response.head.status, 429 | 503), "{response:?}");
-        assert!(response.head.field("Retry-After").is_some(), "{response:?}");
+        // The random order of requests of one importance decides which ones are refused.
+        for client in &mut clients {
+            let response = client.receive().await.expect("an answer");
+            if response.head.status != 429 {
+                continue;
+            }
+            assert!(response.head.field("Retry-After").is_some(), "{response:?}");
+            let id = response.head.field(ATTEMPT).expect("the attempt id");
+            *refused.borrow_mut() = id.into();
+        }
         assert!(metric(&fleet, "gate.refused") > 0);
     });
-    let timeline = timeline("complained", &lines);
+    let refused = refused.into_inner();
+    assert!(!refused.is_empty(), "no request was refused");
+    let timeline = timeline(&refused, &lines);
     assert!(timeline.contains("refused by the gate"), "{timeline}");
     assert!(timeline.contains("refusal=not-run: overload"), "{timeline}");
     assert!(timeline.contains("limit="), "{timeline}");
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -29,7 +29,13 @@
         collections::{BTreeMap, BTreeSet},
         net::{SocketAddr, TcpListener, UdpSocket},
         rc::Rc,
+        sync::{
+            Once,
+            atomic::{AtomicU32, Ordering},
+        },
     },
+    tracing::level_filters::LevelFilter,
+    tracing_subscriber::layer::SubscriberExt,
 };
 
 /// Key of the configuration in the store.
@@ -40,8 +46,29 @@
 /// Time limit of one test, much longer than any test needs.
 const TEST_LIMIT_MS: u64 = 30_000;
 
+/// First port of the daemons under test.
+const FIRST_PORT: u16 = 10_000;
+/// Number of ports for daemons under test.
+const PORT_COUNT: u32 = 20_000;
+/// Distance between the first ports of two successive processes, so that parallel test processes
+/// rarely try the same ones.
+const PORTS_PER_PROCESS: u32 = 1_009;
+
+/// Enables all log lines in the whole process.
+///
+/// A callsite that a thread without a subscriber reaches first may otherwise be disabled for the
+/// subscribers of other threads too, and their tests miss its lines.
+pub(crate) fn enable_log_lines() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        let subscriber = tracing_subscriber::registry().with(LevelFilter::INFO);
+        tracing::subscriber::set_global_default(subscriber).unwrap();
+    });
+}
+
 /// Runs a test on the daemons' executor.
 pub(crate) fn run(test: impl Future<Output = ()>) {
+    enable_log_lines();
     let ended = runtime::block_on(async { runtime::within(TEST_LIMIT_MS, test).await });
     assert!(ended.is_some(), "the test exceeded its time limit");
 }
@@ -57,12 +84,15 @@
     panic!("condition not reached: {condition}");
 }
 
-/// Address whose port is free for TCP and UDP.
+/// Address whose port is free for TCP and UDP, and which no other daemon of this process gets. The
+/// range is below that of the ports which the system gives to clients.
 fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        if UdpSocket::bind(addr).is_ok() {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * PORTS_PER_PROCESS;
+        let port = FIRST_PORT + (number % PORT_COUNT) as u16;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
@@ -613,7 +643,7 @@
         let (settings, worker) = (before.mesh.settings.clone(), Rc::clone(&before.worker));
         let started_unix_ms = self.starts.get() + 1;
         self.starts.set(started_unix_ms);
-        let vm = start_daemon(settings, worker, &self.store, started_unix_ms);
+        let vm = start_daemon(index, settings, worker, &self.store, started_unix_ms);
         vm.sequence.set(before.sequence.get());
         self.vms[index] = vm;
     }
@@ -665,10 +695,11 @@
         },
         log_level: tracing::Level::INFO,
     };
-    start_daemon(settings, worker, store, 1)
+    start_daemon(index, settings, worker, store, 1)
 }
 
 fn start_daemon(
+    index: usize,
     settings: MeshSettings,
     worker: Rc<Worker>,
     store: &Rc<TestStore>,
@@ -682,7 +713,7 @@
         received_configs: Cell::new(0),
         lost_answers: Cell::new(0),
     });
-    let seed = u64::from(settings.calls_addr.port()) + started_unix_ms;
+    let seed = index as u64 + (started_unix_ms << 16);
     let mesh = Mesh::new(Parts {
         settings,
         protocol: Rc::new(WireProtocol) as Rc<dyn Protocol>,
