Read the newest configuration after an outage, not every version since

Cause: after a failed watch the daemon continued from its old revision, and the store answers with every version since, replaced ones included. Over the link that a region shares, versions that are written faster than they are transferred accumulate, so that each answer is longer than the one before. A daemon that is behind now reads the newest version until nothing newer arrives, and a failed watch is followed by a read. Single changes still cost one call each.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod conn;
 pub mod crash;
+pub mod cursor;
 pub mod daemon;
 pub mod directory;
 mod edge;
@@ -293,21 +294,21 @@
         self.inbound.borrow_mut().push(Rc::downgrade(outbox));
     }
 
-    /// Applies a configuration document. A malformed one, or one that is not newer than the
-    /// configuration in force, is ignored.
-    pub fn apply_config(self: &Rc<Self>, document: &[u8], source: ConfigSource) {
+    /// Applies a configuration document and returns whether it is now in force. A malformed one, or
+    /// one that is not newer than the configuration in force, is ignored.
+    pub fn apply_config(self: &Rc<Self>, document: &[u8], source: ConfigSource) -> bool {
         let table = match self.protocol.decode_config(document) {
             Ok(table) => table,
             Err(error) => {
                 self.metrics.count("config.refused");
                 tracing::warn!(%error, %source, in_force = %self.config_version(),
                     "malformed configuration ignored");
-                return;
+                return false;
             }
         };
         let in_force = self.config_version();
         if self.routes.borrow().is_some() && table.version <= in_force {
-            return;
+            return false;
         }
         tracing::info!(version = %table.version, replaced = %in_force, %source,
             routes = table.len(), bytes = document.len(), "configuration in force");
@@ -317,6 +318,7 @@
             .set_revision(Revision(table.version.0));
         *self.routes.borrow_mut() = Some(Rc::new(table));
         *self.config_document.borrow_mut() = document.to_vec();
+        true
     }
 
     /// Handles a message from a peer that is not part of a call.
@@ -333,7 +335,9 @@
                     outbox.push(&Message::Config, &[&document]);
                 }
             }
-            Message::Config => self.apply_config(payload, ConfigSource::Peer),
+            Message::Config => {
+                self.apply_config(payload, ConfigSource::Peer);
+            }
             Message::Crashes(crashes) => self.merge_crashes(crashes),
             Message::Call(..) | Message::Reply(..) | Message::Cancel(_) => {
                 self.metrics.count("peers.unexpected");
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -11,6 +11,7 @@
     crate::{
         mesh::{
             ConfigSource, Mesh,
+            cursor::{ConfigCursor, NextCall},
             entry::{self, Entry},
             era::{EraCheck, EraTracker},
             protocol::{Answered, Freshness, StoreChange, StoreEntry, StoreResult, WatchResult},
@@ -303,20 +304,20 @@
 /// Watches the configuration.
 pub async fn watch_config(mesh: Rc<Mesh>) {
     let mut backoff = Backoff::new();
-    let mut cursor = None;
+    let mut cursor = ConfigCursor::default();
     loop {
         let new_era = mesh.registry.era_risen.listen();
         let rises = mesh.registry.rises.get();
         let result = {
-            let watched = pin!(watch_config_once(&mesh, &mut cursor));
-            match select(watched, new_era).await {
+            let updated = pin!(update_config(&mesh, &mut cursor));
+            match select(updated, new_era).await {
                 Either::Left((result, _)) => result,
                 Either::Right(_) => Ok(()),
             }
         };
         // Revisions of an earlier era may have been given out again.
         if mesh.registry.rises.get() != rises {
-            cursor = None;
+            cursor.reset();
         }
         match result {
             Ok(()) => {
@@ -327,36 +328,41 @@
                 tracing::debug!(%error, "watching the configuration failed");
                 mesh.metrics.count("config.watch_failed");
                 mesh.registry.record_watch(true);
+                cursor.reset();
                 backoff.wait(&mesh).await;
             }
         }
     }
 }
 
-async fn watch_config_once(mesh: &Rc<Mesh>, cursor: &mut Option<u64>) -> Result<(), StoreError> {
+/// Makes the next call for the configuration and applies what it brings.
+async fn update_config(mesh: &Rc<Mesh>, cursor: &mut ConfigCursor) -> Result<(), StoreError> {
     let key = mesh.protocol.config_key();
-    let apply = |entry: StoreEntry| {
-        if entry.key == key {
-            mesh.apply_config(&entry.value, ConfigSource::Store);
-        }
+    let apply = |entry: &StoreEntry| {
+        entry.key == key && mesh.apply_config(&entry.value, ConfigSource::Store)
     };
-    let Some(after) = *cursor else {
-        mesh.metrics.count("config.read");
-        let page = mesh.store.list(key, "", Freshness::Latest).await;
-        let page = mesh.registry.accept("read configuration", page)?;
-        *cursor = Some(page.revision);
-        page.entries.into_iter().for_each(apply);
-        return Ok(());
+    let after = match cursor.next_call() {
+        NextCall::Watch { after } => after,
+        NextCall::Read => {
+            mesh.metrics.count("config.read");
+            let page = mesh.store.list(key, "", Freshness::Latest).await;
+            let page = mesh.registry.accept("read configuration", page)?;
+            let is_newer = page.entries.iter().any(apply);
+            cursor.record_read(page.revision, is_newer);
+            return Ok(());
+        }
     };
     let watched = mesh.store.watch(key, after, WATCH_TIMEOUT_MS).await;
     match mesh.registry.accept("watch configuration", watched)? {
-        WatchResult::Compacted => *cursor = None,
+        WatchResult::Compacted => cursor.reset(),
         WatchResult::Changes { changes, revision } => {
-            *cursor = Some(revision);
+            cursor.record_changes(revision, changes.len());
             mesh.metrics.add("config.watched", changes.len() as u64);
             for change in changes {
                 match change {
-                    StoreChange::Put(entry) => apply(entry),
+                    StoreChange::Put(entry) => {
+                        apply(&entry);
+                    }
                     StoreChange::Removed(key) => tracing::warn!(%key,
                         "configuration removed from the store; the version in force is kept"),
                 }
--- /dev/null
+++ b/tests/cursor.rs
@@ -0,0 +1,118 @@
+//! Watch of the configuration over a slow link, in virtual time.
+
+use shallotdeal::mesh::cursor::{ConfigCursor, NextCall};
+
+/// Time within which a version must be in force on the platform.
+const PROPAGATION_MS: u64 = 2_000;
+
+/// Round trip between two regions.
+const ROUND_TRIP_MS: u64 = 24;
+
+/// Versions that are written at intervals, and the link to the store.
+struct Storm {
+    /// Times at which versions are written; the number of a version is its index plus one, and its
+    /// revision too.
+    written_ms: Vec<u64>,
+    /// Time for which the link is occupied by one document.
+    transfer_ms: u64,
+}
+
+/// What a daemon has received.
+#[derive(Debug, Default)]
+struct Received {
+    /// Largest time between a version's write and its arrival, or that of a later version.
+    worst_lag_ms: u64,
+    calls: u32,
+    documents: usize,
+}
+
+impl Storm {
+    fn steady(count: u64, interval_ms: u64, transfer_ms: u64) -> Self {
+        Self {
+            written_ms: (1..=count).map(|number| number * interval_ms).collect(),
+            transfer_ms,
+        }
+    }
+
+    fn newest(&self, now_ms: u64) -> u64 {
+        self.written_ms
+            .partition_point(|written_ms| *written_ms <= now_ms) as u64
+    }
+
+    /// Lets a daemon follow the versions until the last one has arrived.
+    fn follow(&self, mut cursor: ConfigCursor, from_ms: u64) -> Received {
+        let last = self.written_ms.len() as u64;
+        let mut received = Received::default();
+        let (mut now_ms, mut in_force) = (from_ms, self.newest(from_ms));
+        while in_force < last {
+            received.calls += 1;
+            let arrived_ms = now_ms + ROUND_TRIP_MS / 2;
+            let (answered_ms, documents) = match cursor.next_call() {
+                NextCall::Read => (arrived_ms, 1),
+                NextCall::Watch { after } => {
+                    let next_ms = self.written_ms[after as usize];
+                    let answered_ms = arrived_ms.max(next_ms);
+                    (answered_ms, self.newest(answered_ms) - after)
+                }
+            };
+            let newest = self.newest(answered_ms);
+            let is_read = cursor.next_call() == NextCall::Read;
+            now_ms = answered_ms + ROUND_TRIP_MS / 2 + documents * self.transfer_ms;
+            received.documents += documents as usize;
+            for missing in in_force..newest {
+                let lag_ms = now_ms - self.written_ms[missing as usize].max(from_ms);
+                received.worst_lag_ms = received.worst_lag_ms.max(lag_ms);
+            }
+            if is_read {
+                cursor.record_read(newest, newest > in_force);
+            } else {
+                cursor.record_changes(newest, documents as usize);
+            }
+            in_force = newest;
+        }
+        received
+    }
+}
+
+fn watching(after: u64) -> ConfigCursor {
+    let mut cursor = ConfigCursor::default();
+    cursor.record_read(after, true);
+    cursor
+}
+
+// Guards against answers that grow with each call, since each one carries all versions that were
+// written during the transfer of the one before.
+#[test]
+fn versions_that_outrun_the_link_are_in_force_in_time() {
+    let storm = Storm::steady(570, 150, 280);
+    let received = storm.follow(watching(0), 0);
+    assert!(received.worst_lag_ms <= PROPAGATION_MS, "{received:?}");
+}
+
+// Guards against a watch that transfers all versions of an outage.
+#[test]
+fn an_outage_is_followed_by_one_read() {
+    let storm = Storm::steady(60, 150, 100);
+    let mut cursor = watching(1);
+    cursor.reset();
+    let received = storm.follow(cursor, 8_990);
+    assert_eq!((received.calls, received.documents), (1, 1));
+}
+
+#[test]
+fn single_changes_cost_one_call_each() {
+    let storm = Storm::steady(20, 2_000, 280);
+    let received = storm.follow(watching(0), 0);
+    assert_eq!((received.calls, received.documents), (20, 20));
+}
+
+#[test]
+fn a_daemon_that_has_caught_up_watches_again() {
+    let mut cursor = watching(4);
+    cursor.record_changes(7, 3);
+    assert_eq!(cursor.next_call(), NextCall::Read);
+    cursor.record_read(9, true);
+    assert_eq!(cursor.next_call(), NextCall::Read);
+    cursor.record_read(9, false);
+    assert_eq!(cursor.next_call(), NextCall::Watch { after: 9 });
+}
