Replace a watch that delivers nothing while peers have a newer configuration

Callers: the last change of a series is not in force for seconds at the daemons of a whole region, then requests run at the service, or are refused, as an older version says.

All daemons of the region without the store are hit at once, since their requests are under way for 12 ms after each change. A daemon that finds a newer version at a peer in two checks, while none has come into force, now gives the watch up and reads the newest version.

Ruled out: malformed versions (config.refused is 0), saturation of the link by documents of peers on the current code.

--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        config::Revision,
         fleet::{
             Fleet, FleetRules, NewestConfig, Scope,
             member::{AdvertisedWorker, Member},
@@ -11,6 +12,7 @@
         },
         mesh::{
             Mesh, frame,
+            lag::LagTracker,
             runtime::{now_us, sleep_ms},
         },
     },
@@ -30,10 +32,6 @@
 /// Interval at which the configuration in force is compared with those of the peers.
 const CONFIG_CHECK_MS: u64 = 250;
 
-/// Number of consecutive checks that have to find a newer configuration before it is fetched from a
-/// peer. The watch of the store usually delivers it sooner.
-const CONFIG_CHECKS: u32 = 2;
-
 /// Interval between anti-entropy rounds. Each compares one part of the key space, and the group is
 /// larger than that of one data centre.
 const SYNC_INTERVAL_US: u64 = 1_000_000;
@@ -110,19 +108,22 @@
 }
 
 /// Fetches a newer configuration from a peer that has it, for a daemon that the store does not
-/// serve or whose store has come back from an older copy.
+/// serve or whose store has come back from an older copy. Replaces a watch that has delivered
+/// nothing meanwhile, as its request or its answer may be lost.
 pub async fn fetch_config(mesh: Rc<Mesh>) {
-    let mut checks = 0;
+    let mut tracker = LagTracker::default();
     loop {
         sleep_ms(CONFIG_CHECK_MS).await;
+        let in_force = Revision(mesh.config_version().0);
         let newest = mesh.fleet.borrow().newest_config().cloned();
-        let Some(newest) = newest.filter(|newest| newest.revision.0 > mesh.config_version().0)
-        else {
-            checks = 0;
+        let lag = tracker.check(in_force, newest.as_ref().map(|newest| newest.revision));
+        if lag.is_stalled {
+            mesh.registry.replace_watch();
+        }
+        let Some(newest) = newest.filter(|newest| newest.revision > in_force) else {
             continue;
         };
-        checks += 1;
-        if checks < CONFIG_CHECKS && mesh.is_ready() {
+        if !lag.is_behind && mesh.is_ready() {
             continue;
         }
         let NewestConfig {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -21,6 +21,7 @@
 pub mod gossip;
 pub mod http;
 pub mod ingress;
+pub mod lag;
 pub mod latency;
 pub mod link;
 pub mod peers;
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -77,9 +77,11 @@
     /// Notified when the watch of the configuration succeeds again.
     regained: Event,
     is_watch_failing: Cell<bool>,
-    /// Notified when the store has come back from an older copy.
-    era_risen: Event,
-    /// Number of times that it has.
+    /// Notified when the watch of the configuration has to be given up for a read.
+    watch_outdated: Event,
+    /// Whether a watch of the configuration waits for its answer.
+    is_watch_waiting: Cell<bool>,
+    /// Number of times that the store has come back from an older copy.
     rises: Cell<u64>,
     era: RefCell<EraTracker>,
     has_logged_era: Cell<bool>,
@@ -92,6 +94,15 @@
         self.entry_stale.notify(usize::MAX);
     }
 
+    /// Replaces a waiting watch of the configuration by a read, as peers have a version that it has
+    /// not delivered.
+    pub fn replace_watch(&self) {
+        if self.is_watch_waiting.replace(false) {
+            tracing::info!("watch of the configuration delivers nothing; newest version is read");
+            self.watch_outdated.notify(usize::MAX);
+        }
+    }
+
     /// Takes the value of an answer and compares its era with the newest one.
     ///
     /// # Errors
@@ -105,7 +116,7 @@
                 tracing::warn!(%from, %to, "store has come back from an older copy; \
                     own entry is written and all entries are read again");
                 self.rises.set(self.rises.get() + 1);
-                self.era_risen.notify(usize::MAX);
+                self.watch_outdated.notify(usize::MAX);
                 self.wake();
                 self.listing_due.notify(usize::MAX);
             }
@@ -306,31 +317,36 @@
     let mut backoff = Backoff::new();
     let mut cursor = ConfigCursor::default();
     loop {
-        let new_era = mesh.registry.era_risen.listen();
+        let outdated = mesh.registry.watch_outdated.listen();
         let rises = mesh.registry.rises.get();
         let result = {
             let updated = pin!(update_config(&mesh, &mut cursor));
-            match select(updated, new_era).await {
-                Either::Left((result, _)) => result,
-                Either::Right(_) => Ok(()),
+            match select(updated, outdated).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
             }
         };
+        mesh.registry.is_watch_waiting.set(false);
         // Revisions of an earlier era may have been given out again.
         if mesh.registry.rises.get() != rises {
             cursor.reset();
         }
         match result {
-            Ok(()) => {
+            Some(Ok(())) => {
                 mesh.registry.record_watch(false);
                 backoff = Backoff::new();
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 tracing::debug!(%error, "watching the configuration failed");
                 mesh.metrics.count("config.watch_failed");
                 mesh.registry.record_watch(true);
                 cursor.reset();
                 backoff.wait(&mesh).await;
             }
+            None => {
+                mesh.metrics.count("config.watch_replaced");
+                cursor.reset();
+            }
         }
     }
 }
@@ -352,6 +368,7 @@
             return Ok(());
         }
     };
+    mesh.registry.is_watch_waiting.set(true);
     let watched = mesh.store.watch(key, after, WATCH_TIMEOUT_MS).await;
     match mesh.registry.accept("watch configuration", watched)? {
         WatchResult::Compacted => cursor.reset(),
