Ask the last reporter of a newer configuration for it, not the first

Callers: a daemon that the store does not serve keeps an old configuration although all its peers have the newer one.

Cause: only a higher revision replaced the address to ask, so after the last change of a series the first member that had reported it was asked for ever, also when it had stopped or its link was dead. The address is now that of the last reporter, which was alive just before.

--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -200,7 +200,7 @@
         if self
             .newest_config
             .as_ref()
-            .is_none_or(|newest| revision > newest.revision)
+            .is_none_or(|newest| revision >= newest.revision)
         {
             self.newest_config = Some(NewestConfig {
                 revision,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -256,7 +256,7 @@
         }
     }
 
-    /// Returns the newest configuration that another member has reported.
+    /// Returns the newest configuration that other members have reported.
     pub fn newest_config(&self) -> Option<&NewestConfig> {
         self.newest_config.as_ref()
     }
@@ -465,12 +465,12 @@
     }
 }
 
-/// Newest configuration that another member has reported.
+/// Newest configuration that other members have reported.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NewestConfig {
     /// Its revision.
     pub revision: Revision,
-    /// Address for calls to the member.
+    /// Address for calls to the member that has reported it last, as earlier ones may be gone.
     pub call_addr: SocketAddr,
 }
 
