Bound the wait of watches during frequent changes

While changes follow each other within five seconds, a watch now waits for one second; single changes are watched as before.

Evidence: store::watches_that_all_daemons_lose_during_frequent_changes_end_soon and watches_are_short_during_frequent_changes_only fail without it.

--- a/src/mesh/cursor.rs
+++ b/src/mesh/cursor.rs
@@ -6,6 +6,21 @@
 //! that all daemons of a region share. Versions that are transferred more slowly than they are
 //! written accumulate, so that each answer is longer than the one before. A daemon that is behind
 //! therefore reads the newest version until it has caught up.
+//!
+//! A store that falls silent takes the calls that are under way and never answers them. During
+//! frequent changes these are the next watches of all daemons at once. Such a watch waits for a
+//! short time only, so that it ends soon if it is lost.
+
+/// Wait of a watch during frequent changes. With the time limit of its answer, it ends less than
+/// three seconds after it is lost, the shortest time after which the platform counts a store as
+/// stable again.
+const FREQUENT_WAIT_MS: u64 = 1_000;
+
+/// Longest wait of one watch that the platform allows.
+const MAX_WAIT_MS: u64 = 30_000;
+
+/// Time between two changes up to which changes are frequent.
+const FREQUENT_CHANGE_US: u64 = 5_000_000;
 
 /// Next call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +31,8 @@
     Watch {
         /// Revision of the store.
         after: u64,
+        /// Longest wait.
+        wait_ms: u64,
     },
 }
 
@@ -26,28 +43,53 @@
     revision: Option<u64>,
     /// Whether versions are written faster than they arrive.
     is_behind: bool,
+    /// Time of the last change.
+    changed_us: Option<u64>,
+    /// Whether the last two changes followed each other soon.
+    is_frequent: bool,
 }
 
 impl ConfigCursor {
     /// Next call to the store.
     pub fn next_call(&self) -> NextCall {
         match self.revision {
-            Some(after) if !self.is_behind => NextCall::Watch { after },
+            Some(after) if !self.is_behind => NextCall::Watch {
+                after,
+                wait_ms: if self.is_frequent {
+                    FREQUENT_WAIT_MS
+                } else {
+                    MAX_WAIT_MS
+                },
+            },
             _ => NextCall::Read,
         }
     }
 
     /// Records that the newest version at a revision was read, and whether it replaced the one in
     /// force.
-    pub fn record_read(&mut self, revision: u64, is_newer: bool) {
+    pub fn record_read(&mut self, revision: u64, is_newer: bool, now_us: u64) {
         self.revision = Some(revision);
         self.is_behind &= is_newer;
+        if is_newer {
+            self.record_change(now_us);
+        }
     }
 
     /// Records the number of versions that a watch delivered up to a revision.
-    pub fn record_changes(&mut self, revision: u64, versions: usize) {
+    pub fn record_changes(&mut self, revision: u64, versions: usize, now_us: u64) {
         self.revision = Some(revision);
         self.is_behind = versions > 1;
+        if versions > 0 {
+            self.record_change(now_us);
+        } else {
+            self.is_frequent = false;
+        }
+    }
+
+    fn record_change(&mut self, now_us: u64) {
+        let last_us = self.changed_us.replace(now_us);
+        self.is_frequent =
+            last_us.is_some_and(|last_us| now_us.saturating_sub(last_us) < FREQUENT_CHANGE_US);
     }
 
     /// Forgets the position, as many versions may have been written since, or as its revision is no
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -47,10 +47,6 @@
 /// Longest delay of a failed call while the watch of the configuration fails too.
 const LOST_RETRY_MS: u64 = 2_000;
 
-/// Longest wait of one watch call that the platform allows; a dead connection is detected by its
-/// keep-alive probes.
-const WATCH_TIMEOUT_MS: u64 = 30_000;
-
 /// Mean interval between listings.
 const LISTING_INTERVAL_MS: u64 = 300_000;
 
@@ -357,23 +353,23 @@
     let apply = |entry: &StoreEntry| {
         entry.key == key && mesh.apply_config(&entry.value, ConfigSource::Store)
     };
-    let after = match cursor.next_call() {
-        NextCall::Watch { after } => after,
+    let (after, wait_ms) = match cursor.next_call() {
+        NextCall::Watch { after, wait_ms } => (after, wait_ms),
         NextCall::Read => {
             mesh.metrics.count("config.read");
             let page = mesh.store.list(key, "", Freshness::Latest).await;
             let page = mesh.registry.accept("read configuration", page)?;
             let is_newer = page.entries.iter().any(apply);
-            cursor.record_read(page.revision, is_newer);
+            cursor.record_read(page.revision, is_newer, now_us());
             return Ok(());
         }
     };
     mesh.registry.is_watch_waiting.set(true);
-    let watched = mesh.store.watch(key, after, WATCH_TIMEOUT_MS).await;
+    let watched = mesh.store.watch(key, after, wait_ms).await;
     match mesh.registry.accept("watch configuration", watched)? {
         WatchResult::Compacted => cursor.reset(),
         WatchResult::Changes { changes, revision } => {
-            cursor.record_changes(revision, changes.len());
+            cursor.record_changes(revision, changes.len(), now_us());
             mesh.metrics.add("config.watched", changes.len() as u64);
             for change in changes {
                 match change {
--- a/tests/cursor.rs
+++ b/tests/cursor.rs
@@ -5,6 +5,14 @@
 /// Time within which a version must be in force on the platform.
 const PROPAGATION_MS: u64 = 2_000;
 
+/// Shortest time after an outage of the store after which the platform counts it as stable.
+const SETTLE_MS: u64 = 3_000;
+
+/// Time limit of an answer of the store, in addition to the wait that the call itself requests.
+const ANSWER_TIMEOUT_MS: u64 = 1_500;
+
+const SECOND_US: u64 = 1_000_000;
+
 /// Round trip between two regions.
 const ROUND_TRIP_MS: u64 = 24;
 
@@ -49,7 +57,7 @@
             let arrived_ms = now_ms + ROUND_TRIP_MS / 2;
             let (answered_ms, documents) = match cursor.next_call() {
                 NextCall::Read => (arrived_ms, 1),
-                NextCall::Watch { after } => {
+                NextCall::Watch { after, .. } => {
                     let next_ms = self.written_ms[after as usize];
                     let answered_ms = arrived_ms.max(next_ms);
                     (answered_ms, self.newest(answered_ms) - after)
@@ -64,9 +72,9 @@
                 received.worst_lag_ms = received.worst_lag_ms.max(lag_ms);
             }
             if is_read {
-                cursor.record_read(newest, newest > in_force);
+                cursor.record_read(newest, newest > in_force, now_ms * 1_000);
             } else {
-                cursor.record_changes(newest, documents as usize);
+                cursor.record_changes(newest, documents as usize, now_ms * 1_000);
             }
             in_force = newest;
         }
@@ -76,10 +84,18 @@
 
 fn watching(after: u64) -> ConfigCursor {
     let mut cursor = ConfigCursor::default();
-    cursor.record_read(after, true);
+    cursor.record_read(after, true, 0);
     cursor
 }
 
+/// Wait of the next watch.
+fn wait_ms(cursor: &ConfigCursor) -> u64 {
+    match cursor.next_call() {
+        NextCall::Watch { wait_ms, .. } => wait_ms,
+        NextCall::Read => panic!("the next call is a read"),
+    }
+}
+
 // Guards against answers that grow with each call, since each one carries all versions that were
 // written during the transfer of the one before.
 #[test]
@@ -109,10 +125,27 @@
 #[test]
 fn a_daemon_that_has_caught_up_watches_again() {
     let mut cursor = watching(4);
-    cursor.record_changes(7, 3);
+    cursor.record_changes(7, 3, SECOND_US);
     assert_eq!(cursor.next_call(), NextCall::Read);
-    cursor.record_read(9, true);
+    cursor.record_read(9, true, SECOND_US);
     assert_eq!(cursor.next_call(), NextCall::Read);
-    cursor.record_read(9, false);
-    assert_eq!(cursor.next_call(), NextCall::Watch { after: 9 });
+    cursor.record_read(9, false, SECOND_US);
+    assert!(matches!(
+        cursor.next_call(),
+        NextCall::Watch { after: 9, .. }
+    ));
+}
+
+// Guards against a watch that is lost together with those of all other daemons and ends only after
+// half a minute.
+#[test]
+fn watches_are_short_during_frequent_changes_only() {
+    let mut cursor = watching(0);
+    let long_ms = wait_ms(&cursor);
+    cursor.record_changes(1, 1, 60 * SECOND_US);
+    assert_eq!(wait_ms(&cursor), long_ms);
+    cursor.record_changes(2, 1, 61 * SECOND_US);
+    assert!(wait_ms(&cursor) + ANSWER_TIMEOUT_MS < SETTLE_MS);
+    cursor.record_changes(2, 0, 62 * SECOND_US);
+    assert_eq!(wait_ms(&cursor), long_ms);
 }
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -46,6 +46,9 @@
 /// Time limit of one test, much longer than any test needs.
 const TEST_LIMIT_MS: u64 = 30_000;
 
+/// Time limit of an answer of the store, in addition to the wait that the call itself requests.
+const ANSWER_TIMEOUT_MS: u64 = 1_500;
+
 /// First port of the daemons under test.
 const FIRST_PORT: u16 = 10_000;
 /// Number of ports for daemons under test.
@@ -340,7 +343,12 @@
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> StoreResult<WatchResult> {
         if self.swallows_watches.get() {
             self.swallowed_watches.set(self.swallowed_watches.get() + 1);
-            std::future::pending::<()>().await;
+            sleep_ms(wait_ms + ANSWER_TIMEOUT_MS).await;
+            return Err(StoreError::Uncertain {
+                step: "call",
+                peer: "store".into(),
+                detail: "time-out".into(),
+            });
         }
         let watched = self.store.watch(prefix, after, wait_ms).await;
         self.check()?;
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -184,6 +184,31 @@
     });
 }
 
+// Guards against a whole fleet that is blind for half a minute: a store that falls silent during
+// frequent changes takes the next watches of all daemons and answers none, so no peer can help.
+#[test]
+fn watches_that_all_daemons_lose_during_frequent_changes_end_soon() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let in_force = |version| {
+            let vms = &fleet.vms;
+            move || vms.iter().all(|vm| vm.mesh.config_version().0 == version)
+        };
+        fleet.write_config(2);
+        eventually("the first change", in_force(2)).await;
+        let stores = || fleet.vms.iter().map(|vm| &vm.store);
+        stores().for_each(|store| store.swallows_watches.set(true));
+        fleet.write_config(3);
+        eventually("lost watches", || {
+            stores().all(|store| store.swallowed_watches.get() > 0)
+        })
+        .await;
+        stores().for_each(|store| store.swallows_watches.set(false));
+        fleet.write_config(4);
+        eventually("the change after the lost watches", in_force(4)).await;
+    });
+}
+
 #[test]
 fn the_sources_of_configurations_are_counted() {
     run(async {
