--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -429,6 +429,10 @@
     pub(crate) received: RefCell<Vec<ReceivedRequest>>,
     pub(crate) cancelled: Cell<u32>,
     pub(crate) has_crashed: Cell<bool>,
+    /// Requests per second that it names as its limit in all answers.
+    pub(crate) limit_per_s: Cell<Option<f64>>,
+    /// Whether it says in all answers that it leaves.
+    pub(crate) is_leaving: Cell<bool>,
 }
 
 impl Worker {
@@ -441,6 +445,8 @@
             received: RefCell::default(),
             cancelled: Cell::new(0),
             has_crashed: Cell::new(false),
+            limit_per_s: Cell::new(None),
+            is_leaving: Cell::new(false),
         });
         let accepting = Rc::clone(&worker);
         runtime::detach("worker", async move {
@@ -498,8 +504,15 @@
 
     async fn respond(&self, conn: &mut Conn, attempt: &str) -> bool {
         let io = conn.io();
+        let mut state = String::new();
+        if let Some(limit_per_s) = self.limit_per_s.get() {
+            state += &format!("Server-Limit: {limit_per_s}\r\n");
+        }
+        if self.is_leaving.get() {
+            state += "Server-Leaving: 1\r\n";
+        }
         let head = |status: &str, attempt: &str| {
-            format!("HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n{STAMP}: s-{attempt}\r\n")
+            format!("HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n{STAMP}: s-{attempt}\r\n{state}")
         };
         let body = format!("body of {attempt} by {}", self.id);
         let good = format!(
