Keep the rate of requests that a worker names as its limit

Cause: the field Server-Limit of answers was forwarded and not read; nothing in the design knew of a limit that a worker sets itself. The gate beside the worker sends all its requests, so it keeps the rate for all daemons by a token bucket. The concurrency that the rate allows is the limit that the gate reports and by which it bounds its queue, so senders prefer other workers and what cannot be served is refused at once. A daemon that starts beside a running worker keeps a low rate until the first answer, as the worker may have named a limit to the process before.

--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -15,12 +15,13 @@
         policy::{
             failures::FailureShare,
             gate::{Arrival, Finish, Gate, GateDecision, WorkKey},
+            rate::RequestRate,
         },
         request::{Importance, Incarnation, Level, Rank, Reason, Refusal, ServiceName},
         waiting::{DecisionReceiver, GateWaiters},
     },
     futures::future::{Either, select},
-    smol_str::SmolStr,
+    smol_str::{SmolStr, ToSmolStr},
     std::{collections::VecDeque, pin::pin, rc::Rc},
 };
 
@@ -97,6 +98,8 @@
     gate: Gate,
     waiters: GateWaiters,
     failures: FailureShare,
+    /// Limit on the rate of requests that the worker names.
+    rate: Option<RequestRate>,
     /// Requests that run on the worker, by attempt id.
     pub running: HashMap<SmolStr, Running>,
     is_stopping: bool,
@@ -111,6 +114,7 @@
             gate,
             waiters: GateWaiters::default(),
             failures: FailureShare::default(),
+            rate: None,
             running: HashMap::default(),
             is_stopping: false,
         }
@@ -154,6 +158,9 @@
                     return Change::Ignored;
                 }
                 let is_draining = known.report.is_draining || report.is_draining;
+                if known.is_down {
+                    self.gate.assume_need(now_us);
+                }
                 known.report = report;
                 known.report.is_draining = is_draining;
                 known.is_down = false;
@@ -167,7 +174,12 @@
             _ => {
                 self.gate.announce(report.slots, now_us);
                 self.gate.reset(now_us, &mut actions);
+                if report.warm_up_remaining_ms == 0 {
+                    // It ran before this daemon did, and may have named a limit.
+                    self.gate.assume_need(now_us);
+                }
                 self.failures = FailureShare::default();
+                self.rate = None;
                 self.worker = Some(LocalWorker {
                     report,
                     is_down: false,
@@ -333,6 +345,29 @@
         self.failures.record(has_failed, now_us());
     }
 
+    /// Limit on the rate of requests that the worker names.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.rate
+    }
+
+    /// Applies the limit on the rate of requests that an answer of the worker names. Returns
+    /// whether the worker has begun or ceased to name one.
+    fn record_rate(
+        &mut self,
+        incarnation: Incarnation,
+        rate: Option<RequestRate>,
+        now_us: u64,
+    ) -> bool {
+        if self.worker_id(incarnation).is_none() {
+            return false;
+        }
+        let mut actions = Vec::new();
+        self.gate.set_rate(rate, now_us, &mut actions);
+        self.waiters.apply(actions);
+        let before = std::mem::replace(&mut self.rate, rate);
+        before.is_some() != rate.is_some()
+    }
+
     fn offer(&mut self, call: &Call, deadline_us: u64, now_us: u64) -> Result<GateEntry, Refusal> {
         let is_served = self.serving().is_some_and(|report| {
             report.incarnation.number() == call.worker && report.service == call.service
@@ -569,6 +604,9 @@
             self.mark_worker_down(call.worker, "another worker answers at its address");
             return self.refusal_reply(call, Refusal::not_run(Reason::Unreachable), true);
         }
+        if metadata.is_stamped || metadata.is_not_run {
+            self.apply_rate(call.worker, metadata.rate);
+        }
         slot.finish = if metadata.is_not_run {
             Finish::Failed
         } else {
@@ -594,6 +632,24 @@
         (self.reply(result, true, downstream), payload)
     }
 
+    /// Applies the limit on the rate of requests that a genuine answer names. An unreadable one
+    /// leaves the present limit as it is.
+    fn apply_rate(&self, worker: Incarnation, named: Option<&str>) {
+        let rate = match named.map(RequestRate::try_from).transpose() {
+            Ok(rate) => rate,
+            Err(error) => {
+                self.metrics.count("worker.bad_limit");
+                tracing::warn!(%worker, %error, "unreadable limit of the worker ignored");
+                return;
+            }
+        };
+        if self.gate.borrow_mut().record_rate(worker, rate, now_us()) {
+            let rate = rate.map(|rate| rate.to_smolstr());
+            tracing::info!(%worker, ?rate, "limit named by the worker");
+            self.metrics.count("worker.limit_changes");
+        }
+    }
+
     fn handle_exchange_error(
         self: &Rc<Self>,
         call: &Call,
--- a/src/mesh/protocol.rs
+++ b/src/mesh/protocol.rs
@@ -36,6 +36,8 @@
     pub is_not_run: bool,
     /// Whether the answer is from a worker other than the expected one.
     pub is_other_worker: bool,
+    /// Requests per second that the worker takes from all daemons together, if it names a limit.
+    pub rate: Option<&'a str>,
 }
 
 /// Metadata that the daemon adds to a request for a worker.
--- a/src/policy/gate.rs
+++ b/src/policy/gate.rs
@@ -7,6 +7,7 @@
             isolation::{IsolationLimits, IsolationQueue},
             limit::{ConcurrencyLimit, Sample},
             queue::{Queue, QueueEntry, QueueOrder},
+            rate::{RateLimiter, RequestRate},
             shed::{GateLoad, GateRules, LevelController},
         },
         request::{Importance, Level, Rank, Reason, Refusal},
@@ -50,6 +51,7 @@
     rules: GateRules,
     level: LevelController,
     limit: ConcurrencyLimit,
+    rate: RateLimiter,
     queue: Queue<WorkKey>,
     /// Queued crash suspects, which must run in isolation; they are not in `queue`.
     suspects: Queue<WorkKey>,
@@ -71,6 +73,7 @@
             rules,
             level: LevelController::new(rules),
             limit: ConcurrencyLimit::new(),
+            rate: RateLimiter::default(),
             queue: Queue::new(),
             suspects: Queue::new(),
             isolation: IsolationQueue::new(IsolationLimits::default()),
@@ -100,6 +103,19 @@
         self.limit.mark_warm(now_us);
     }
 
+    /// Applies the limit on the rate of requests that the backend server names; `None` if it names
+    /// none.
+    pub fn set_rate(&mut self, rate: Option<RequestRate>, now_us: u64, actions: &mut Vec<Action>) {
+        self.rate.set(rate, now_us);
+        self.start_queued(now_us, actions);
+    }
+
+    /// Keeps a low rate until the backend server has answered, as it may have named a limit to an
+    /// earlier process.
+    pub fn assume_need(&mut self, now_us: u64) {
+        self.rate.assume_need(now_us);
+    }
+
     /// Resets the gate for a new incarnation of the backend server: nothing is in flight any more,
     /// queued work is refused, and the warm-up begins again.
     pub fn reset(&mut self, now_us: u64, actions: &mut Vec<Action>) {
@@ -109,6 +125,7 @@
         self.started_sum_us = 0;
         self.isolation = IsolationQueue::new(IsolationLimits::default());
         self.limit.restart(now_us);
+        self.rate = RateLimiter::default();
     }
 
     /// Begins or ends a drain. Work in flight continues; queued work and new arrivals are refused.
@@ -232,7 +249,7 @@
         if self.limit.current() == 0 {
             return Err(Reason::Unreachable);
         }
-        let wait_us = self.wait_us(arrival.rank.importance());
+        let wait_us = self.wait_us(arrival.rank.importance(), now_us);
         if !self.can_meet_deadline(arrival.deadline_us, wait_us, now_us) {
             return Err(Reason::Deadline);
         }
@@ -260,12 +277,12 @@
     }
 
     /// Lower estimate of the time until all more important queued work has started.
-    fn wait_us(&self, importance: Importance) -> u64 {
+    fn wait_us(&self, importance: Importance, now_us: u64) -> u64 {
         let Some(above) = importance.0.checked_sub(1) else {
             return 0;
         };
         let ahead = self.queue.count_at_least(Importance(above)) as u64;
-        let limit = u64::from(self.limit.current().max(1));
+        let limit = u64::from(self.effective_limit(now_us).max(1));
         ahead * self.limit.latency().expected_us() / limit
     }
 
@@ -329,7 +346,7 @@
 
     /// Refuses the least important queued work while the queue is longer than its bound.
     fn evict(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        while self.queue.len() > self.queue_max() {
+        while self.queue.len() > self.queue_max(now_us) {
             let Some(least) = self.queue.least_important() else {
                 return;
             };
@@ -344,8 +361,8 @@
     }
 
     /// Bound on the queue length, in entries.
-    fn queue_max(&self) -> usize {
-        let entries = f64::from(self.limit.current()) * self.rules.queue_latencies;
+    fn queue_max(&self, now_us: u64) -> usize {
+        let entries = f64::from(self.effective_limit(now_us)) * self.rules.queue_latencies;
         (entries as usize).max(QUEUE_MAX_MIN)
     }
 
@@ -357,7 +374,8 @@
                 self.drop_queued(entry, Reason::Deadline, now_us, actions);
                 continue;
             }
-            if !self.isolation.is_open() || self.in_flight >= self.limit.current() as usize {
+            let is_full = self.in_flight >= self.limit.current() as usize;
+            if !self.isolation.is_open() || is_full || !self.rate.has_token(now_us) {
                 return;
             }
             self.queue.remove(entry);
@@ -371,6 +389,9 @@
         while let Some(expired) = self.suspects.expired(now_us) {
             self.drop_suspect(expired, Reason::Deadline, actions);
         }
+        if !self.rate.has_token(now_us) {
+            return;
+        }
         let Some(scheduled) = self.isolation.start_next(self.in_flight as u32, now_us) else {
             return;
         };
@@ -405,6 +426,7 @@
             return;
         };
         work.state = State::Running { started_us: now_us };
+        self.rate.take();
         self.in_flight += 1;
         self.started_sum_us += u128::from(now_us);
         self.counters.started += 1;
@@ -501,11 +523,18 @@
         GateLoad {
             queued: self.queue.len(),
             in_flight: self.in_flight,
-            limit: self.limit.current(),
+            limit: self.effective_limit(now_us),
             latency_us: self.latency_us(now_us),
         }
     }
 
+    /// Requests in flight that the concurrency limit and the rate allow.
+    fn effective_limit(&self, now_us: u64) -> u32 {
+        let limit = self.limit.current();
+        let allowed = self.rate.concurrency(self.latency_us(now_us));
+        allowed.map_or(limit, |allowed| allowed.min(limit))
+    }
+
     /// Mean latency, or half of the mean age of the work in flight if that is greater: latency has
     /// grown, but the slow requests have not ended yet.
     fn latency_us(&self, now_us: u64) -> u64 {
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -504,13 +504,12 @@
 
     async fn respond(&self, conn: &mut Conn, attempt: &str) -> bool {
         let io = conn.io();
-        let mut state = String::new();
-        if let Some(limit_per_s) = self.limit_per_s.get() {
-            state += &format!("Server-Limit: {limit_per_s}\r\n");
-        }
-        if self.is_leaving.get() {
-            state += "Server-Leaving: 1\r\n";
-        }
+        let limit = self
+            .limit_per_s
+            .get()
+            .map(|limit_per_s| format!("Server-Limit: {limit_per_s}\r\n"));
+        let leaving = self.is_leaving.get().then_some("Server-Leaving: 1\r\n");
+        let state = limit.unwrap_or_default() + leaving.unwrap_or_default();
         let head = |status: &str, attempt: &str| {
             format!("HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n{STAMP}: s-{attempt}\r\n{state}")
         };
