Drain a worker that says in an answer that it leaves

Callers: requests still reach a worker after it has said in its answers that it leaves, and fail when it ends.

Cause: only reports at the control port announced a departure; the field Server-Leaving of answers was forwarded and not read. A genuine answer of the present incarnation now counts like its departure at the control port: the gate refuses new requests, the state is published to all daemons, and the departure is written to the entry, so that it binds the VM's next daemon too.

--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -9,7 +9,7 @@
             frame::{Call, CallResult, GateLoad, Reply, ServiceLoad, WorkerIncarnation},
             http,
             pool::{ExchangeError, ExchangeErrorKind, WorkerAnswer},
-            protocol::{RequestContext, WorkerReport},
+            protocol::{RequestContext, WorkerReport, WorkerStatement},
             runtime::{now_us, sleep_until},
         },
         policy::{
@@ -221,6 +221,21 @@
         Change::State
     }
 
+    /// Applies the departure of an incarnation that says in an answer that it leaves.
+    fn leave_incarnation(&mut self, incarnation: Incarnation, now_us: u64) -> Change {
+        let worker = self.worker.as_ref().filter(|worker| {
+            worker.report.incarnation.number() == incarnation && !worker.report.is_draining
+        });
+        let Some(worker) = worker else {
+            return Change::None;
+        };
+        let WorkerIncarnation {
+            id,
+            started_unix_ms,
+        } = worker.report.incarnation.clone();
+        self.leave(&id, Some(started_unix_ms), now_us)
+    }
+
     /// Latest incarnations that have left, most recent first.
     pub fn departed(&self) -> Vec<WorkerIncarnation> {
         let incarnations = self.departures.iter().rev().filter_map(|departure| {
@@ -605,7 +620,7 @@
             return self.refusal_reply(call, Refusal::not_run(Reason::Unreachable), true);
         }
         if metadata.is_stamped || metadata.is_not_run {
-            self.apply_rate(call.worker, metadata.rate);
+            self.apply_statement(call.worker, metadata.statement);
         }
         slot.finish = if metadata.is_not_run {
             Finish::Failed
@@ -632,6 +647,14 @@
         (self.reply(result, true, downstream), payload)
     }
 
+    /// Applies what the worker says of itself in a genuine answer.
+    fn apply_statement(self: &Rc<Self>, worker: Incarnation, statement: WorkerStatement<'_>) {
+        self.apply_rate(worker, statement.rate);
+        if statement.is_leaving {
+            self.apply_departure(worker);
+        }
+    }
+
     /// Applies the limit on the rate of requests that a genuine answer names. An unreadable one
     /// leaves the present limit as it is.
     fn apply_rate(&self, worker: Incarnation, named: Option<&str>) {
@@ -650,6 +673,15 @@
         }
     }
 
+    /// Stops sending requests to a worker that says in an answer that it leaves.
+    fn apply_departure(self: &Rc<Self>, worker: Incarnation) {
+        let change = self.gate.borrow_mut().leave_incarnation(worker, now_us());
+        if change == Change::State {
+            self.publish_worker_change(change, &worker.to_string(), "answer");
+            self.registry.wake();
+        }
+    }
+
     fn handle_exchange_error(
         self: &Rc<Self>,
         call: &Call,
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -125,7 +125,12 @@
     }
 
     /// Logs the effect of a report or a departure, and publishes a changed state.
-    fn publish_worker_change(self: &Rc<Self>, change: Change, worker: &str, cause: &str) {
+    pub(super) fn publish_worker_change(
+        self: &Rc<Self>,
+        change: Change,
+        worker: &str,
+        cause: &str,
+    ) {
         match change {
             Change::None => {}
             Change::Ignored => {
--- a/src/mesh/protocol.rs
+++ b/src/mesh/protocol.rs
@@ -36,8 +36,17 @@
     pub is_not_run: bool,
     /// Whether the answer is from a worker other than the expected one.
     pub is_other_worker: bool,
-    /// Requests per second that the worker takes from all daemons together, if it names a limit.
+    /// What the worker says of itself.
+    pub statement: WorkerStatement<'a>,
+}
+
+/// What a worker says of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkerStatement<'a> {
+    /// Requests per second that it takes from all daemons together, if it names a limit.
     pub rate: Option<&'a str>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
 
 /// Metadata that the daemon adds to a request for a worker.
