--- a/tests/mesh/need.rs
+++ b/tests/mesh/need.rs
@@ -48,6 +48,33 @@
     });
 }
 
+// Guards against a limit that outlasts the need of its worker.
+#[test]
+fn a_limit_ends_with_the_first_answer_that_names_none() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let vm = &fleet.vms[0];
+        vm.worker.limit_per_s.set(Some(0.0));
+        fleet.request("GET", "/read/x", "limited").await;
+        let rate = vm.mesh.gate.borrow().rate();
+        assert_eq!(rate.map(|rate| rate.to_string()).as_deref(), Some("0/s"));
+        vm.worker.limit_per_s.set(None);
+        let mut number = 0;
+        while vm.mesh.gate.borrow().rate().is_some() {
+            number += 1;
+            fleet
+                .request("GET", "/read/x", &format!("limited-{number}"))
+                .await;
+        }
+        for number in 0..50 {
+            let response = fleet
+                .request("GET", "/read/x", &format!("free-{number}"))
+                .await;
+            assert_eq!(response.head.status, 200);
+        }
+    });
+}
+
 // Guards against a worker that is sent requests after it has said in an answer that it leaves.
 #[test]
 fn a_worker_that_says_that_it_leaves_gets_no_more_requests() {
