Notice a lost watch of the configuration within seconds

Cause: each daemon sends its next watch right after the change. A silent store takes it and never answers. Nothing shows the daemon whether the store knows of its watch, so it waits for 31.5 s; all daemons do, so no peer has anything newer. Lease renewals of the same daemons timed out meanwhile and were not taken as a sign.

Now a long watch is followed by a renewal of the lease, and a call without an answer ends the watch for a read. The two calls reach the store within a moment, so a silence that takes the watch takes the renewal too. At most 200 daemons of a fleet confirm; the others learn by gossip that they are behind. Renewals before their time no longer move the next one, so those of the fleet stay spread, and small fleets renew more often: some daemon notices a silence in which answers were lost.

Ruled out: dead connections (renewals over the same link succeed 0.1 s after the silence), a refused version (the counters and logs show none).

--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -118,7 +118,8 @@
         let newest = mesh.fleet.borrow().newest_config().cloned();
         let lag = tracker.check(in_force, newest.as_ref().map(|newest| newest.revision));
         if lag.is_stalled {
-            mesh.registry.replace_watch();
+            mesh.registry
+                .replace_watch("peers have a newer configuration");
         }
         let Some(newest) = newest.filter(|newest| newest.revision > in_force) else {
             continue;
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -6,6 +6,11 @@
 //! while it knows few members, at long intervals, and after the store has come back from an older
 //! copy. This joins parts of the fleet that do not know each other. While the store is lost, mostly
 //! one task calls it.
+//!
+//! The watch of the configuration waits for up to half a minute, so nothing shows whether the store
+//! knows of it. A store that falls silent takes calls and never answers them. A renewal of the
+//! lease therefore follows each watch, and a call without an answer ends the watch: both calls were
+//! taken by the same store within a short time.
 
 use {
     crate::{
@@ -15,7 +20,7 @@
             entry::{self, Entry},
             era::{EraCheck, EraTracker},
             protocol::{Answered, Freshness, StoreChange, StoreEntry, StoreResult, WatchResult},
-            runtime::{now_us, sleep_ms},
+            runtime::{now_us, sleep_ms, sleep_until},
         },
         store::{LeaseId, StoreError},
     },
@@ -33,9 +38,19 @@
 /// Lifetime of an entry without renewal; two renewals may fail before it expires.
 const LEASE_TTL_MS: u64 = 15_000;
 
-/// Interval of lease renewals, a third of the lifetime. A changed record of this daemon is written
-/// with the next renewal.
-const RENEW_INTERVAL_MS: u64 = 5_000;
+/// Longest mean interval of lease renewals, a third of the lifetime. A changed record of this daemon
+/// is written with the next renewal.
+const RENEW_MAX_MS: u64 = 5_000;
+
+/// Shortest mean interval of lease renewals.
+const RENEW_MIN_MS: u64 = 1_500;
+
+/// Time before a due renewal within which an earlier one replaces it.
+const RENEW_EARLY_MS: u64 = 1_000;
+
+/// Mean interval between the renewals of a small fleet, so that some daemon notices a short silence
+/// of the store.
+const FLEET_RENEW_MS: u64 = 300;
 
 /// Delay after a failed call, doubled after each further failure.
 const BACKOFF_MIN_MS: u64 = 100;
@@ -54,6 +69,13 @@
 /// fleet; doubled after each one.
 const FEW_LISTING_MS: u64 = 2_000;
 
+/// Wait of a watch up to which it is not confirmed, as it ends soon in any case.
+const SHORT_WAIT_MS: u64 = 2_000;
+
+/// Number of daemons of the fleet that confirm a watch by a renewal. The others of a larger fleet
+/// learn from their gossip that they are behind.
+const CONFIRMING_DAEMONS: usize = 200;
+
 /// Number of live members, this daemon included, that count as few.
 const FEW_MEMBERS: usize = 3;
 
@@ -90,11 +112,13 @@
         self.entry_stale.notify(usize::MAX);
     }
 
-    /// Replaces a waiting watch of the configuration by a read, as peers have a version that it has
-    /// not delivered.
-    pub fn replace_watch(&self) {
+    /// Replaces a waiting watch of the configuration by a read, as it may be lost.
+    pub fn replace_watch(&self, cause: &'static str) {
         if self.is_watch_waiting.replace(false) {
-            tracing::info!("watch of the configuration delivers nothing; newest version is read");
+            tracing::info!(
+                cause,
+                "watch of the configuration may be lost; newest version is read"
+            );
             self.watch_outdated.notify(usize::MAX);
         }
     }
@@ -162,6 +186,9 @@
         if !self.is_store_lost.replace(true) {
             tracing::warn!(%error, "store lost");
         }
+        if matches!(error, StoreError::Uncertain { .. }) {
+            self.replace_watch("another call got no answer");
+        }
     }
 }
 
@@ -199,6 +226,7 @@
         backoff.wait(&mesh).await;
     }
     let mut own = OwnEntry::default();
+    let mut renewal_due_us = 0;
     backoff = Backoff::new();
     loop {
         let stale = mesh.registry.entry_stale.listen();
@@ -220,7 +248,13 @@
             continue;
         }
         backoff = Backoff::new();
-        select(stale, pin!(sleep_ms(RENEW_INTERVAL_MS))).await;
+        // A renewal before its time does not move the next one. All daemons confirm their watches at
+        // once after a change, and the renewals of the fleet are to stay spread over time.
+        let now_us = now_us();
+        if renewal_due_us <= now_us + RENEW_EARLY_MS * 1_000 {
+            renewal_due_us = now_us.max(renewal_due_us) + mesh.renew_interval_ms() * 1_000;
+        }
+        select(stale, sleep_until(renewal_due_us)).await;
     }
 }
 
@@ -365,7 +399,12 @@
         }
     };
     mesh.registry.is_watch_waiting.set(true);
+    if wait_ms > SHORT_WAIT_MS && mesh.confirms_watch() {
+        // The renewal is sent after the watch, as its task does not run before this one waits.
+        mesh.registry.wake();
+    }
     let watched = mesh.store.watch(key, after, wait_ms).await;
+    mesh.registry.is_watch_waiting.set(false);
     match mesh.registry.accept("watch configuration", watched)? {
         WatchResult::Compacted => cursor.reset(),
         WatchResult::Changes { changes, revision } => {
@@ -394,6 +433,20 @@
 }
 
 impl Mesh {
+    /// Time until the next renewal of the lease.
+    fn renew_interval_ms(&self) -> u64 {
+        let daemons = self.fleet.borrow().live_members() as u64;
+        let mean_ms = (daemons * FLEET_RENEW_MS).clamp(RENEW_MIN_MS, RENEW_MAX_MS);
+        let jitter = self.rng.borrow_mut().random_range(0.75..1.25);
+        (mean_ms as f64 * jitter) as u64
+    }
+
+    /// Returns whether this daemon confirms its next watch of the configuration.
+    fn confirms_watch(&self) -> bool {
+        let daemons = self.fleet.borrow().live_members();
+        self.rng.borrow_mut().random_range(0..daemons) < CONFIRMING_DAEMONS
+    }
+
     fn own_entry(&self) -> Entry {
         Entry {
             member: self.own_member(),
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -301,8 +301,14 @@
 pub(crate) struct VmStore {
     store: Rc<TestStore>,
     pub(crate) is_unreachable: Cell<bool>,
+    /// Whether the store takes all calls of this VM and never answers them.
+    pub(crate) is_silent: Cell<bool>,
     /// Whether the store takes watches of this VM and never answers them.
     pub(crate) swallows_watches: Cell<bool>,
+    /// Whether the answers of watches that deliver changes are lost.
+    pub(crate) loses_changes: Cell<bool>,
+    /// Number of answers with changes that were lost.
+    pub(crate) lost_changes: Cell<u32>,
     /// Number of watches that get no answer.
     pub(crate) swallowed_watches: Cell<u32>,
     /// Number of configuration documents that the store has sent to this VM.
@@ -327,12 +333,30 @@
         }
         Ok(())
     }
+
+    /// Checks whether a call reaches the store. A call to a silent store ends after its time limit.
+    async fn reach(&self, wait_ms: u64) -> Result<(), StoreError> {
+        self.check()?;
+        if self.is_silent.get() {
+            sleep_ms(wait_ms + ANSWER_TIMEOUT_MS).await;
+            return Err(time_out());
+        }
+        Ok(())
+    }
+}
+
+fn time_out() -> StoreError {
+    StoreError::Uncertain {
+        step: "call",
+        peer: "store".into(),
+        detail: "time-out".into(),
+    }
 }
 
 #[async_trait(?Send)]
 impl PlatformStore for VmStore {
     async fn list(&self, prefix: &str, after: &str, freshness: Freshness) -> StoreResult<Page> {
-        self.check()?;
+        self.reach(0).await?;
         let page = self.store.list(prefix, after, freshness).await?;
         if prefix == CONFIG_KEY {
             self.count_configs(page.value.entries.len());
@@ -341,17 +365,18 @@
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> StoreResult<WatchResult> {
-        if self.swallows_watches.get() {
+        if self.swallows_watches.get() || self.is_silent.get() {
             self.swallowed_watches.set(self.swallowed_watches.get() + 1);
             sleep_ms(wait_ms + ANSWER_TIMEOUT_MS).await;
-            return Err(StoreError::Uncertain {
-                step: "call",
-                peer: "store".into(),
-                detail: "time-out".into(),
-            });
+            return Err(time_out());
         }
         let watched = self.store.watch(prefix, after, wait_ms).await;
         self.check()?;
+        if self.loses_changes.get() {
+            self.lost_changes.set(self.lost_changes.get() + 1);
+            sleep_ms(wait_ms + ANSWER_TIMEOUT_MS).await;
+            return Err(time_out());
+        }
         if let Ok(Answered {
             value: WatchResult::Changes { changes, .. },
             ..
@@ -363,7 +388,7 @@
     }
 
     async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> StoreResult<bool> {
-        self.check()?;
+        self.reach(0).await?;
         let answered = self.store.put(key, value, lease).await;
         let lost_answers = self.lost_answers.get();
         if lost_answers > 0 {
@@ -378,12 +403,12 @@
     }
 
     async fn grant(&self, ttl_ms: u64) -> StoreResult<LeaseId> {
-        self.check()?;
+        self.reach(0).await?;
         self.store.grant(ttl_ms).await
     }
 
     async fn renew(&self, lease: LeaseId) -> StoreResult<bool> {
-        self.check()?;
+        self.reach(0).await?;
         self.store.renew(lease).await
     }
 }
@@ -728,6 +753,9 @@
     let store = Rc::new(VmStore {
         store: Rc::clone(store),
         is_unreachable: Cell::new(false),
+        is_silent: Cell::new(false),
+        loses_changes: Cell::new(false),
+        lost_changes: Cell::new(0),
         swallows_watches: Cell::new(false),
         swallowed_watches: Cell::new(0),
         received_configs: Cell::new(0),
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -209,6 +209,73 @@
     });
 }
 
+// Guards against a whole fleet that is blind for half a minute after a single change: the store falls
+// silent just after it, so it takes the next watches of all daemons and answers none.
+#[test]
+fn watches_that_all_daemons_lose_after_a_single_change_are_replaced() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let in_force = |version| {
+            let vms = &fleet.vms;
+            move || vms.iter().all(|vm| vm.mesh.config_version().0 == version)
+        };
+        let stores = || fleet.vms.iter().map(|vm| &vm.store);
+        // The next change is a single one.
+        sleep_ms(6_000).await;
+        stores().for_each(|store| store.is_silent.set(true));
+        fleet.write_config(2);
+        eventually("the single change", in_force(2)).await;
+        eventually("lost watches", || {
+            stores().all(|store| store.swallowed_watches.get() > 0)
+        })
+        .await;
+        // Shorter than the interval of lease renewals.
+        sleep_ms(500).await;
+        stores().for_each(|store| store.is_silent.set(false));
+        fleet.write_config(3);
+        eventually("the change after the lost watches", in_force(3)).await;
+    });
+}
+
+// Guards against a daemon that trusts its watch although the store did not answer another call
+// meanwhile: the store took the change and its answer to the watch was lost.
+#[test]
+fn a_watch_is_replaced_after_another_call_without_an_answer() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let vm = &fleet.vms[0];
+        eventually("a waiting watch", || vm.mesh.metrics.get("config.read") > 0).await;
+        vm.store.loses_changes.set(true);
+        fleet.write_config(2);
+        eventually("the lost answer", || vm.store.lost_changes.get() > 0).await;
+        vm.store.is_silent.set(true);
+        vm.leave_worker();
+        sleep_ms(500).await;
+        vm.store.is_silent.set(false);
+        vm.store.loses_changes.set(false);
+        eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
+    });
+}
+
+// Guards against a daemon of a small fleet that calls the store so rarely that it misses a silence in
+// which the answer to its watch was lost.
+#[test]
+fn a_silence_of_two_seconds_is_noticed_by_a_daemon_without_peers() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let vm = &fleet.vms[0];
+        eventually("a waiting watch", || vm.mesh.metrics.get("config.read") > 0).await;
+        vm.store.loses_changes.set(true);
+        fleet.write_config(2);
+        eventually("the lost answer", || vm.store.lost_changes.get() > 0).await;
+        vm.store.is_silent.set(true);
+        sleep_ms(2_000).await;
+        vm.store.is_silent.set(false);
+        vm.store.loses_changes.set(false);
+        eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
+    });
+}
+
 #[test]
 fn the_sources_of_configurations_are_counted() {
     run(async {
