Read a client's connection until its last answer

What operators saw: requests were sent on, and workers were at work, for clients that had left.

Cause: the daemon learns of a client's end by reading, and read no more after a request with "Connection: close", nor while a client had 32 open requests. The end was then noticed when the answer was written. A request whose client had left before it was read was sent on as well, and one that waited in a queue reached a worker. A worker's calls that were made in this way went on after their request had been cancelled, over all services below.

The connection is now read for as long as a request is open. What follows a request that closes the connection is discarded; of a client with the most open requests 16 KiB are read ahead, and after that the state of the socket shows the end. Requests that end so are logged and counted.

Kept connections with fewer requests cancelled at all places before.

Five tests of tests/mesh/left.rs failed before.

What remains: a client that has sent more than the buffers of the connection hold cannot be seen to leave until its requests are read.

--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -16,7 +16,7 @@
         task::{Poll, ready},
     },
     tokio::{
-        io::{AsyncRead, ReadBuf},
+        io::{AsyncRead, Interest, ReadBuf, Ready},
         net::{
             TcpListener, TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -131,6 +131,13 @@
             })
     }
 
+    /// Returns whether the peer has closed its sending side, also while bytes before its end have not
+    /// been read. Waits until there is something to read.
+    pub async fn is_read_closed(&self) -> bool {
+        let ready = self.reader.ready(Interest::READABLE).await;
+        ready.map_or(true, Ready::is_read_closed)
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -94,10 +94,16 @@
         let request = self.routed_request(metadata, Rc::clone(route), &inbound, now_us);
         let refused = self.admit(&request, now_us);
         let mut history = SendHistory::new();
+        let mut open_request = OpenRequest {
+            mesh: self,
+            request: &request,
+            is_open: true,
+        };
         let result = match refused {
             Some(refusal) => Err(refusal),
             None => self.forward(&request, &inbound, &mut history).await,
         };
+        open_request.is_open = false;
         self.finish_request(&request, &history, result)
     }
 
@@ -246,3 +252,23 @@
         answer
     }
 }
+
+/// Guard of a request that has no answer yet; dropped before, it records that the client has left.
+struct OpenRequest<'a> {
+    mesh: &'a Mesh,
+    request: &'a RoutedRequest,
+    is_open: bool,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        let request = self.request;
+        self.mesh.metrics.count("request.cancelled");
+        tracing::info!(attempt = %request.metadata.attempt_id, route = %request.route.name,
+            took_us = now_us().saturating_sub(request.started_us), depth = request.depth,
+            "cancelled, as the client has left");
+    }
+}
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -1,7 +1,8 @@
 //! HTTP connections of clients, and of the local worker for its downstream calls.
 //!
 //! Pipelined requests are handled concurrently and answered in order. If the client closes the
-//! connection, all of its requests are cancelled.
+//! connection, all of its requests are cancelled. The connection is therefore read for as long as a
+//! request is open, also when no further request is taken from it.
 
 use {
     crate::mesh::{
@@ -10,20 +11,27 @@
         forward::{Answer, Inbound},
         http::{self, MessageError},
         routes::ClientLimits,
-        runtime::{now_us, sleep_until, within},
+        runtime::{now_us, sleep_ms, sleep_until, within},
     },
     futures::{
         StreamExt,
         future::{Either, LocalBoxFuture, select},
         stream::FuturesOrdered,
     },
-    std::{io, net::SocketAddr, rc::Rc},
+    std::{io, net::SocketAddr, pin::pin, rc::Rc},
     tokio::net::{TcpStream, tcp::OwnedWriteHalf},
 };
 
 /// Requests of one connection that are handled concurrently; further ones are not read yet.
 const MAX_PIPELINED: usize = 32;
 
+/// Bytes read ahead of the requests of a connection that has [`MAX_PIPELINED`] open ones. The end of
+/// the connection is read only after them.
+const READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Interval at which a connection with more bytes read ahead is checked for its end.
+const END_CHECK_MS: u64 = 100;
+
 /// Time for a client to read the last answer before the connection is closed.
 const LINGER_MS: u64 = 1_000;
 
@@ -59,28 +67,22 @@
         }
     };
     let io = conn.io();
-    let mut reading: Option<Reading> = Some(Box::pin(read(Rc::clone(mesh), conn)));
-    let mut last_conn = None;
+    let mut input = Input::Reading(Box::pin(read(Rc::clone(mesh), conn)));
     let mut closes = false;
     let mut answers = FuturesOrdered::new();
     loop {
-        let event = match reading.take() {
-            Some(next) if answers.len() < MAX_PIPELINED => {
-                if answers.is_empty() {
-                    Event::Read(next.await)
-                } else {
-                    match select(next, answers.next()).await {
-                        Either::Left((read, _)) => Event::Read(read),
-                        Either::Right((answer, next)) => {
-                            reading = Some(next);
-                            Event::Answer(answer)
-                        }
-                    }
-                }
+        if answers.len() < MAX_PIPELINED && !closes {
+            input = input.resume(mesh);
+        }
+        let event = if answers.is_empty() {
+            match &mut input {
+                Input::Reading(reading) => Event::Read(reading.await),
+                Input::Held(_) => break,
             }
-            other => {
-                reading = other;
-                Event::Answer(answers.next().await)
+        } else {
+            match select(pin!(input.next(closes)), answers.next()).await {
+                Either::Left((event, _)) => event,
+                Either::Right((answer, _)) => Event::Answer(answer),
             }
         };
         match event {
@@ -92,16 +94,12 @@
                     let _guard = InProgress(&request_mesh);
                     (request_mesh.handle(inbound).await, is_head_request)
                 });
-                if is_last {
-                    last_conn = Some(conn);
-                    closes = true;
-                } else {
-                    reading = Some(Box::pin(read(Rc::clone(mesh), conn)));
-                }
+                closes = is_last;
+                input = Input::Held(conn);
             }
             Event::Read((conn, Err(error), _)) => {
                 let Some(status) = status_of(error) else {
-                    // The client has disconnected; dropping the answers cancels the requests.
+                    record_end(mesh, answers.len());
                     return;
                 };
                 mesh.metrics.count("ingress.malformed");
@@ -123,6 +121,10 @@
                 }
                 return;
             }
+            Event::End => {
+                record_end(mesh, answers.len());
+                return;
+            }
             Event::Answer(None) => break,
             Event::Answer(Some((answer, is_head_request))) => {
                 let is_last = answers.is_empty() && (closes || mesh.is_stopping());
@@ -139,12 +141,71 @@
         }
     }
     drop(answers);
-    if let Some(conn) = last_conn {
-        linger(conn).await;
-    } else if let Some(reading) = reading {
-        // Requests that the client sends from now on are not answered.
-        shutdown_write(&io);
-        within(LINGER_MS, reading).await;
+    match input {
+        Input::Held(conn) => linger(conn).await,
+        Input::Reading(reading) => {
+            // Requests that the client sends from now on are not answered.
+            shutdown_write(&io);
+            within(LINGER_MS, reading).await;
+        }
+    }
+}
+
+/// Records that a client has closed its connection. Dropping its open requests cancels them.
+fn record_end(mesh: &Mesh, open_requests: usize) {
+    if open_requests > 0 {
+        mesh.metrics.add("ingress.abandoned", open_requests as u64);
+        tracing::info!(open_requests, "client has closed its connection");
+    }
+}
+
+/// What is read from a connection.
+enum Input {
+    /// The next request.
+    Reading(Reading),
+    /// No further request, or none yet.
+    Held(Conn),
+}
+
+impl Input {
+    /// Begins to read the next request.
+    fn resume(self, mesh: &Rc<Mesh>) -> Self {
+        match self {
+            Self::Held(conn) => Self::Reading(Box::pin(read(Rc::clone(mesh), conn))),
+            reading @ Self::Reading(_) => reading,
+        }
+    }
+
+    /// Waits for the next request, or for the end of a connection that is held.
+    async fn next(&mut self, closes: bool) -> Event {
+        match self {
+            Self::Reading(reading) => Event::Read(reading.await),
+            Self::Held(conn) => {
+                read_to_end(conn, closes).await;
+                Event::End
+            }
+        }
+    }
+}
+
+/// Waits until the client closes its connection. Keeps what it sends meanwhile, unless the
+/// connection closes after the open requests.
+async fn read_to_end(conn: &mut Conn, closes: bool) {
+    loop {
+        if closes {
+            let ignored = conn.buffered().len();
+            conn.consume(ignored);
+        }
+        if conn.buffered().len() >= READ_AHEAD_BYTES {
+            while !conn.is_read_closed().await {
+                sleep_ms(END_CHECK_MS).await;
+            }
+            return;
+        }
+        match conn.fill().await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
     }
 }
 
@@ -152,6 +213,7 @@
 enum Event {
     Read((Conn, Result<Inbound, MessageError>, bool)),
     Answer(Option<(Answer, bool)>),
+    End,
 }
 
 /// Guard that counts a client request in progress.
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -418,6 +418,8 @@
 pub(crate) enum Behaviour {
     /// Answers after a delay.
     Answer { after_ms: u64 },
+    /// Answers with a body of this length.
+    AnswerBytes { body_bytes: usize },
     /// Answers, and then sends a second answer with another attempt id.
     AnswerTwice,
     /// Answers without a length and closes the connection.
@@ -555,6 +557,11 @@
                 }
                 good
             }
+            Behaviour::AnswerBytes { body_bytes } => format!(
+                "{}Content-Length: {body_bytes}\r\n\r\n{}",
+                head("200 OK", attempt),
+                "x".repeat(body_bytes)
+            ),
             Behaviour::AnswerTwice => format!(
                 "{good}{}Content-Length: 3\r\n\r\nold",
                 head("200 OK", "another")
@@ -699,6 +706,11 @@
             .write(CONFIG_KEY, config(version, 1_500).as_bytes(), 0);
     }
 
+    /// Number of requests whose cancellation workers have seen.
+    pub(crate) fn cancelled_requests(&self) -> u32 {
+        self.vms.iter().map(|vm| vm.worker.cancelled.get()).sum()
+    }
+
     /// Number of requests that workers have received.
     pub(crate) fn received_requests(&self) -> usize {
         self.vms.iter().map(|vm| vm.worker.count()).sum()
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod era;
 mod explained;
 mod harness;
+mod left;
 mod need;
 mod planned;
 mod requests;
