Bound the memory of all answers that a worker sends without end

A head was bounded at 64 KiB and a body at 64 MiB, each answer by itself: eight endless bodies took a daemon to 230 MB, where the smallest machine has 160 MB. Interim answers were read until the deadline.

Bodies of answers share 64 MiB now. One may use all of it, and each may have 256 KiB in any case, so that an endless answer does not fail short ones. After 16 interim answers an answer is invalid. A bounded answer is treated as any invalid one: the connection is closed, and the caller gets its failure at once.

Class: a limit for each request where the resource is shared.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -4,7 +4,7 @@
 //! kept as raw bytes and forwarded unchanged.
 
 use {
-    crate::mesh::conn::Conn,
+    crate::{mesh::conn::Conn, policy::shared_memory::MemoryShare},
     derive_more::{Display, Error},
     smol_str::{SmolStr, ToSmolStr},
     std::io::Write,
@@ -16,6 +16,12 @@
 /// Longest line with the size of a chunk, including extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 4_096;
 
+/// End of the data of a chunk.
+const CHUNK_END: &[u8] = b"\r\n";
+
+/// Interim answers before an answer; a message with more is rejected.
+const MAX_INTERIM_ANSWERS: usize = 16;
+
 /// Hop-by-hop fields (RFC 9110, section 7.6.1), and those that frame the body.
 const HOP_BY_HOP_FIELDS: &[&str] = &[
     "connection",
@@ -150,13 +156,14 @@
 ///
 /// # Errors
 ///
-/// Fails if the head is malformed or too large, or if the connection ends before it is complete.
+/// Fails if the head is malformed or too large, if too many interim responses come first, or if the
+/// connection ends before it is complete.
 pub async fn read_answer(
     conn: &mut Conn,
     max_bytes: usize,
     is_head_request: bool,
 ) -> Result<Head, MessageError> {
-    loop {
+    for _ in 0..=MAX_INTERIM_ANSWERS {
         let head = read_head(conn, max_bytes, |bytes| {
             parse_answer(bytes, is_head_request)
         })
@@ -165,6 +172,7 @@
             return Ok(head);
         }
     }
+    Err(MessageError::Malformed)
 }
 
 async fn read_head(
@@ -330,6 +338,33 @@
     })
 }
 
+/// Limit on the length of a body.
+pub trait BodyLimit {
+    /// Longest body.
+    fn max_bytes(&self) -> u64;
+
+    /// Returns whether a body may grow to this length.
+    fn grow(&mut self, length_bytes: u64) -> bool {
+        length_bytes <= self.max_bytes()
+    }
+}
+
+impl BodyLimit for u64 {
+    fn max_bytes(&self) -> u64 {
+        *self
+    }
+}
+
+impl BodyLimit for MemoryShare<'_> {
+    fn max_bytes(&self) -> u64 {
+        self.total_bytes()
+    }
+
+    fn grow(&mut self, length_bytes: u64) -> bool {
+        self.resize(length_bytes)
+    }
+}
+
 /// Reads a complete body.
 ///
 /// # Errors
@@ -338,18 +373,18 @@
 pub async fn read_body(
     conn: &mut Conn,
     framing: Framing,
-    max_bytes: u64,
+    mut limit: impl BodyLimit,
 ) -> Result<Vec<u8>, MessageError> {
     match framing {
         Framing::Empty => Ok(Vec::new()),
-        Framing::Length(length) if length > max_bytes => Err(MessageError::BodyTooLarge),
+        Framing::Length(length) if length > limit.max_bytes() => Err(MessageError::BodyTooLarge),
         Framing::Length(length) => {
             let mut body = Vec::new();
-            read_exact(conn, &mut body, length as usize).await?;
+            read_exact(conn, &mut body, length as usize, &mut limit).await?;
             Ok(body)
         }
-        Framing::Chunked => read_chunks(conn, max_bytes).await,
-        Framing::UntilClose => read_rest(conn, max_bytes).await,
+        Framing::Chunked => read_chunks(conn, &mut limit).await,
+        Framing::UntilClose => read_rest(conn, &mut limit).await,
     }
 }
 
@@ -357,9 +392,13 @@
     conn: &mut Conn,
     body: &mut Vec<u8>,
     mut count: usize,
+    limit: &mut impl BodyLimit,
 ) -> Result<(), MessageError> {
     loop {
         let piece = conn.buffered().len().min(count);
+        if !limit.grow((body.len() + piece) as u64) {
+            return Err(MessageError::BodyTooLarge);
+        }
         body.extend_from_slice(&conn.buffered()[..piece]);
         conn.consume(piece);
         count -= piece;
@@ -370,15 +409,15 @@
     }
 }
 
-async fn read_rest(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>, MessageError> {
+async fn read_rest(conn: &mut Conn, limit: &mut impl BodyLimit) -> Result<Vec<u8>, MessageError> {
     let mut body = Vec::new();
     loop {
-        body.extend_from_slice(conn.buffered());
         let count = conn.buffered().len();
-        conn.consume(count);
-        if body.len() as u64 > max_bytes {
+        if !limit.grow((body.len() + count) as u64) {
             return Err(MessageError::BodyTooLarge);
         }
+        body.extend_from_slice(conn.buffered());
+        conn.consume(count);
         match conn.fill().await {
             Ok(0) => return Ok(body),
             Ok(_) => {}
@@ -387,22 +426,25 @@
     }
 }
 
-async fn read_chunks(conn: &mut Conn, max_bytes: u64) -> Result<Vec<u8>, MessageError> {
+async fn read_chunks(conn: &mut Conn, limit: &mut impl BodyLimit) -> Result<Vec<u8>, MessageError> {
     let mut body = Vec::new();
     loop {
         let size = read_chunk_size(conn).await?;
         if size == 0 {
             return read_trailers(conn).await.map(|()| body);
         }
+        let max_bytes = limit.max_bytes();
         if size > max_bytes || body.len() as u64 + size > max_bytes {
             return Err(MessageError::BodyTooLarge);
         }
-        read_exact(conn, &mut body, size as usize).await?;
-        let mut end = Vec::new();
-        read_exact(conn, &mut end, 2).await?;
-        if end != b"\r\n" {
+        read_exact(conn, &mut body, size as usize, limit).await?;
+        while conn.buffered().len() < CHUNK_END.len() {
+            fill(conn).await?;
+        }
+        if !conn.buffered().starts_with(CHUNK_END) {
             return Err(MessageError::Malformed);
         }
+        conn.consume(CHUNK_END.len());
     }
 }
 
--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -1,11 +1,14 @@
 //! Connection pool to the local worker, and the exchange of one request and its answer.
 
 use {
-    crate::mesh::{
-        conn::Conn,
-        http::{self, Head, MessageError},
-        protocol::{AnswerMetadata, Protocol},
-        runtime::now_us,
+    crate::{
+        mesh::{
+            conn::Conn,
+            http::{self, Head, MessageError},
+            protocol::{AnswerMetadata, Protocol},
+            runtime::now_us,
+        },
+        policy::shared_memory::SharedMemory,
     },
     derive_more::{Display, Error},
     futures::future::{Either, select},
@@ -32,8 +35,8 @@
 /// Largest head of an answer.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
-/// Largest body of an answer.
-const MAX_ANSWER_BODY_BYTES: u64 = 64 << 20;
+/// Memory of the bodies of all answers that are being read, and largest body of one answer.
+const ANSWER_MEMORY_BYTES: u64 = 64 << 20;
 
 /// Answers to other requests that are skipped on one connection before it is given up.
 const MAX_UNMATCHED_ANSWERS: usize = 4;
@@ -94,6 +97,7 @@
     protocol: Rc<dyn Protocol>,
     idle: RefCell<Vec<IdleConn>>,
     last_answer_us: Cell<u64>,
+    memory: SharedMemory,
 }
 
 impl Pool {
@@ -103,6 +107,7 @@
             protocol,
             idle: RefCell::default(),
             last_answer_us: Cell::new(0),
+            memory: SharedMemory::new(ANSWER_MEMORY_BYTES),
         }
     }
 
@@ -200,7 +205,7 @@
             let head = http::read_answer(conn, MAX_ANSWER_HEAD_BYTES, is_head_request).await?;
             let metadata = self.protocol.answer_metadata(&head);
             let is_own = is_answer_to(&head, metadata, attempt_id)?;
-            let body = http::read_body(conn, head.framing, MAX_ANSWER_BODY_BYTES).await?;
+            let body = http::read_body(conn, head.framing, self.memory.share()).await?;
             if is_own {
                 let is_reusable = unmatched == 0 && !head.closes && conn.buffered().is_empty();
                 return Ok((WorkerAnswer { head, body }, is_reusable));
@@ -222,6 +227,11 @@
         Ok(())
     }
 
+    /// Memory of the bodies of answers that are being read.
+    pub fn answer_bytes(&self) -> u64 {
+        self.memory.used_bytes()
+    }
+
     /// Time of the last complete answer.
     pub fn last_answer_us(&self) -> u64 {
         self.last_answer_us.get()
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -175,6 +175,7 @@
             "gauge",
             u64::from(load.failed_permille),
         );
+        line("worker.answer_bytes", "gauge", self.pool.answer_bytes());
         line("clients", "gauge", self.clients.get() as u64);
         line(
             "requests.in_progress",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod rate;
 pub mod retry;
 pub mod retry_budget;
+pub mod shared_memory;
 pub mod shed;
 pub mod suspect;
 pub mod ticket;
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -439,6 +439,75 @@
     CrashOnKiller,
     /// Answers with a success that carries no stamp.
     Unstamped,
+    /// Answers requests whose attempt id begins with `endless` without end, the others at once.
+    Endless(EndlessAnswer),
+}
+
+/// Pieces of [`EndlessAnswer::Length`] after which nothing more is sent.
+const LENGTH_PIECES: usize = 500;
+
+/// Bytes that a worker sends without end, until the daemon closes the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndlessAnswer {
+    /// Bytes that are no answer.
+    Noise,
+    /// Fields of a head.
+    Fields,
+    /// Interim answers.
+    Interim,
+    /// Complete answers to other requests.
+    Unmatched,
+    /// A body without a length.
+    Unframed,
+    /// A body that stops before its length is reached.
+    Length,
+    /// Chunks of a body.
+    Chunks,
+    /// Chunks of one byte.
+    TinyChunks,
+    /// The size of one chunk.
+    ChunkSize,
+    /// Fields after the last chunk.
+    Trailers,
+}
+
+impl EndlessAnswer {
+    pub(crate) const ALL: [Self; 10] = [
+        Self::Noise,
+        Self::Fields,
+        Self::Interim,
+        Self::Unmatched,
+        Self::Unframed,
+        Self::Length,
+        Self::Chunks,
+        Self::TinyChunks,
+        Self::ChunkSize,
+        Self::Trailers,
+    ];
+
+    /// Beginning of the answer, and the bytes that are repeated.
+    fn text(self, head: &str) -> (String, String) {
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let large = "x".repeat(60_000);
+        match self {
+            Self::Noise => (String::new(), large),
+            Self::Fields => (head.into(), "A: b\r\n".repeat(1_000)),
+            Self::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+            Self::Unmatched => {
+                let other = format!("HTTP/1.1 200 OK\r\n{ATTEMPT}: other\r\n{STAMP}: s-other\r\n");
+                (
+                    String::new(),
+                    format!("{other}Content-Length: 60000\r\n\r\n{large}"),
+                )
+            }
+            Self::Unframed => (format!("{head}\r\n"), large),
+            Self::Length => (format!("{head}Content-Length: 40000000\r\n\r\n"), large),
+            Self::Chunks => (chunked, format!("ea60\r\n{large}\r\n")),
+            Self::TinyChunks => (chunked, "1\r\nx\r\n".repeat(10_000)),
+            Self::ChunkSize => (chunked + "1;", large),
+            Self::Trailers => (chunked + "0\r\n", "A: b\r\n".repeat(1_000)),
+        }
+    }
 }
 
 /// Request as received by a worker.
@@ -455,6 +524,8 @@
     pub(crate) behaviour: Cell<Behaviour>,
     pub(crate) received: RefCell<Vec<ReceivedRequest>>,
     pub(crate) cancelled: Cell<u32>,
+    /// Number of connections that daemons have closed during an endless answer.
+    pub(crate) closed: Cell<u32>,
     pub(crate) has_crashed: Cell<bool>,
     /// Requests per second that it names as its limit in all answers.
     pub(crate) limit_per_s: Cell<Option<f64>>,
@@ -471,6 +542,7 @@
             behaviour: Cell::new(Behaviour::Answer { after_ms: 0 }),
             received: RefCell::default(),
             cancelled: Cell::new(0),
+            closed: Cell::new(0),
             has_crashed: Cell::new(false),
             limit_per_s: Cell::new(None),
             is_leaving: Cell::new(false),
@@ -575,7 +647,23 @@
                 self.has_crashed.set(true);
                 return false;
             }
-            Behaviour::CrashOnKiller => good,
+            Behaviour::Endless(answer) if attempt.starts_with("endless") => {
+                let (first, repeated) = answer.text(&head("200 OK", attempt));
+                let mut text = first + &repeated;
+                let mut pieces = 0;
+                while write_all(&io, text.as_bytes()).await.is_ok() {
+                    text.clone_from(&repeated);
+                    pieces += 1;
+                    if answer == EndlessAnswer::Length && pieces == LENGTH_PIECES {
+                        // Ends when the daemon closes the connection.
+                        let _ = conn.fill().await;
+                        break;
+                    }
+                }
+                self.closed.set(self.closed.get() + 1);
+                return false;
+            }
+            Behaviour::CrashOnKiller | Behaviour::Endless(_) => good,
             Behaviour::Shed => format!(
                 "HTTP/1.1 503 Busy\r\n{ATTEMPT}: {attempt}\r\nX-Shallotdeal-Not-Executed: 1\r\n\
                  Content-Length: 0\r\n\r\n"
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,6 +1,7 @@
 //! Complete daemons on one thread, with stand-ins for the platform's store, workers and clients.
 
 mod answers;
+mod endless;
 mod era;
 mod explained;
 mod harness;
