Count idle time from the last answer on a client's connection

The idle timeout began when a request had been read. A request that took longer than it was dropped without an answer, and a connection was closed up to the length of a request before the time that clients may reuse it.

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -18,7 +18,7 @@
         future::{Either, LocalBoxFuture, select},
         stream::FuturesOrdered,
     },
-    std::{io, net::SocketAddr, pin::pin, rc::Rc},
+    std::{cell::Cell, io, net::SocketAddr, pin::pin, rc::Rc},
     tokio::net::{TcpStream, tcp::OwnedWriteHalf},
 };
 
@@ -67,12 +67,13 @@
         }
     };
     let io = conn.io();
-    let mut input = Input::Reading(Box::pin(read(Rc::clone(mesh), conn)));
+    let activity = Rc::new(Activity::new(now_us()));
+    let mut input = Input::Held(conn);
     let mut closes = false;
     let mut answers = FuturesOrdered::new();
     loop {
         if answers.len() < MAX_PIPELINED && !closes {
-            input = input.resume(mesh);
+            input = input.resume(mesh, &activity);
         }
         let event = if answers.is_empty() {
             match &mut input {
@@ -88,6 +89,7 @@
         match event {
             Event::Read((conn, Ok(inbound), is_last)) => {
                 mesh.in_progress.set(mesh.in_progress.get() + 1);
+                activity.record_request();
                 let request_mesh = Rc::clone(mesh);
                 answers.push_back(async move {
                     let is_head_request = inbound.head.method == "HEAD";
@@ -137,6 +139,7 @@
                 if is_last {
                     break;
                 }
+                activity.record_answer(now_us());
             }
         }
     }
@@ -159,6 +162,38 @@
     }
 }
 
+/// Time since which a connection has had no open request.
+struct Activity {
+    open_requests: Cell<usize>,
+    since_us: Cell<u64>,
+}
+
+impl Activity {
+    fn new(now_us: u64) -> Self {
+        Self {
+            open_requests: Cell::new(0),
+            since_us: Cell::new(now_us),
+        }
+    }
+
+    fn record_request(&self) {
+        self.open_requests.set(self.open_requests.get() + 1);
+    }
+
+    fn record_answer(&self, now_us: u64) {
+        self.open_requests.set(self.open_requests.get() - 1);
+        self.since_us.set(now_us);
+    }
+
+    fn idle_since_us(&self, now_us: u64) -> u64 {
+        if self.open_requests.get() > 0 {
+            now_us
+        } else {
+            self.since_us.get()
+        }
+    }
+}
+
 /// What is read from a connection.
 enum Input {
     /// The next request.
@@ -169,9 +204,12 @@
 
 impl Input {
     /// Begins to read the next request.
-    fn resume(self, mesh: &Rc<Mesh>) -> Self {
+    fn resume(self, mesh: &Rc<Mesh>, activity: &Rc<Activity>) -> Self {
         match self {
-            Self::Held(conn) => Self::Reading(Box::pin(read(Rc::clone(mesh), conn))),
+            Self::Held(conn) => {
+                let reading = read(Rc::clone(mesh), conn, Rc::clone(activity));
+                Self::Reading(Box::pin(reading))
+            }
             reading @ Self::Reading(_) => reading,
         }
     }
@@ -226,20 +264,24 @@
 }
 
 /// Reads one request. Returns it with the connection, and whether it is the last one.
-async fn read(mesh: Rc<Mesh>, mut conn: Conn) -> (Conn, Result<Inbound, MessageError>, bool) {
+async fn read(
+    mesh: Rc<Mesh>,
+    mut conn: Conn,
+    activity: Rc<Activity>,
+) -> (Conn, Result<Inbound, MessageError>, bool) {
     let limits = mesh.client_limits();
-    let result = read_within(&mut conn, limits).await;
+    let result = read_within(&mut conn, &activity, limits).await;
     let is_last = result.as_ref().is_ok_and(|inbound| inbound.head.closes);
     (conn, result, is_last)
 }
 
-async fn read_within(conn: &mut Conn, limits: ClientLimits) -> Result<Inbound, MessageError> {
+async fn read_within(
+    conn: &mut Conn,
+    activity: &Activity,
+    limits: ClientLimits,
+) -> Result<Inbound, MessageError> {
     if conn.buffered().is_empty() {
-        let idle = limits.idle_timeout_ms;
-        match within(idle, conn.fill()).await {
-            Some(Ok(count)) if count > 0 => {}
-            _ => return Err(MessageError::Closed),
-        }
+        wait_for_bytes(conn, activity, limits.idle_timeout_ms).await?;
     }
     let head_deadline_us = now_us() + limits.head_timeout_ms * 1_000;
     let head = {
@@ -261,6 +303,34 @@
     Ok(Inbound { head, body })
 }
 
+/// Waits for the first bytes of a request.
+///
+/// # Errors
+///
+/// Fails if the client closes the connection or it is idle for too long.
+async fn wait_for_bytes(
+    conn: &mut Conn,
+    activity: &Activity,
+    idle_timeout_ms: u64,
+) -> Result<(), MessageError> {
+    let due_us = |now_us| activity.idle_since_us(now_us) + idle_timeout_ms * 1_000;
+    loop {
+        let filled = {
+            let filling = pin!(conn.fill());
+            match select(filling, sleep_until(due_us(now_us()))).await {
+                Either::Left((filled, _)) => Some(filled),
+                Either::Right(_) => None,
+            }
+        };
+        let now_us = now_us();
+        match filled {
+            Some(Ok(count)) if count > 0 => return Ok(()),
+            None if now_us < due_us(now_us) => {}
+            _ => return Err(MessageError::Closed),
+        }
+    }
+}
+
 /// Status of the answer to an invalid message; `None` if the client has gone.
 fn status_of(error: MessageError) -> Option<u16> {
     match error {
--- a/tests/mesh/requests.rs
+++ b/tests/mesh/requests.rs
@@ -2,7 +2,7 @@
 //! limits.
 
 use {
-    crate::harness::{Behaviour, Client, Fleet, eventually, run},
+    crate::harness::{Behaviour, Client, Fleet, config, eventually, run},
     shallotdeal::mesh::runtime::sleep_ms,
 };
 
@@ -194,3 +194,30 @@
         assert_eq!(response.head.field("Retry-After"), None);
     });
 }
+
+// Guards against a connection that is closed during a request which takes longer than the idle
+// timeout, or too soon after its answer.
+#[test]
+fn a_connection_is_idle_only_while_it_has_no_open_request() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let short_idle =
+            config(2, 3_000).replace(r#""IdleTimeoutMs":5000"#, r#""IdleTimeoutMs":400"#);
+        fleet.store.write("op/config", short_idle.as_bytes(), 0);
+        eventually("the short idle timeout", || {
+            fleet.vms[0].mesh.client_limits().idle_timeout_ms == 400
+        })
+        .await;
+        fleet.set_behaviour(Behaviour::Answer { after_ms: 1_000 });
+        let mut client = Client::connect(&fleet.vms[0]).await;
+        for number in 0..2 {
+            let id = format!("id-{number}");
+            client.send("GET", "/read/x", &id, "", b"").await;
+            let response = client.receive().await.expect("an answer");
+            assert_eq!(response.head.status, 200);
+            sleep_ms(200).await;
+        }
+        sleep_ms(600).await;
+        assert!(client.receive().await.is_none(), "the idle connection ends");
+    });
+}
