--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -7,10 +7,11 @@
 //! copy. This joins parts of the fleet that do not know each other. While the store is lost, mostly
 //! one task calls it.
 //!
-//! The watch of the configuration waits for up to half a minute, so nothing shows whether the store
-//! knows of it. A store that falls silent takes calls and never answers them. A renewal of the
-//! lease therefore follows each watch, and a call without an answer ends the watch: both calls were
-//! taken by the same store within a short time.
+//! The watch of the configuration waits for up to half a minute, and nothing shows meanwhile whether
+//! the store knows of it. A store that falls silent takes calls and never answers them. A renewal of
+//! the lease therefore follows each long watch: the two arrive within a short time of each other, so
+//! that a silence which takes the watch also takes the renewal. Any call without an answer ends the
+//! watch, as the answer to the watch may have been lost too.
 
 use {
     crate::{
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -237,6 +237,16 @@
     });
 }
 
+/// Changes the configuration to version 2 and loses the answer to the watch of the first daemon.
+async fn lose_change(fleet: &Fleet) {
+    let vm = &fleet.vms[0];
+    eventually("a waiting watch", || vm.mesh.metrics.get("config.read") > 0).await;
+    vm.store.loses_changes.set(true);
+    fleet.write_config(2);
+    eventually("the lost answer", || vm.store.lost_changes.get() > 0).await;
+    vm.store.loses_changes.set(false);
+}
+
 // Guards against a daemon that trusts its watch although the store did not answer another call
 // meanwhile: the store took the change and its answer to the watch was lost.
 #[test]
@@ -244,15 +254,11 @@
     run(async {
         let fleet = Fleet::start(1).await;
         let vm = &fleet.vms[0];
-        eventually("a waiting watch", || vm.mesh.metrics.get("config.read") > 0).await;
-        vm.store.loses_changes.set(true);
-        fleet.write_config(2);
-        eventually("the lost answer", || vm.store.lost_changes.get() > 0).await;
+        lose_change(&fleet).await;
         vm.store.is_silent.set(true);
         vm.leave_worker();
         sleep_ms(500).await;
         vm.store.is_silent.set(false);
-        vm.store.loses_changes.set(false);
         eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
     });
 }
@@ -264,14 +270,10 @@
     run(async {
         let fleet = Fleet::start(1).await;
         let vm = &fleet.vms[0];
-        eventually("a waiting watch", || vm.mesh.metrics.get("config.read") > 0).await;
-        vm.store.loses_changes.set(true);
-        fleet.write_config(2);
-        eventually("the lost answer", || vm.store.lost_changes.get() > 0).await;
+        lose_change(&fleet).await;
         vm.store.is_silent.set(true);
         sleep_ms(2_000).await;
         vm.store.is_silent.set(false);
-        vm.store.loses_changes.set(false);
         eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
     });
 }
