--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -73,7 +73,7 @@
 /// Wait of a watch up to which it is not confirmed, as it ends soon in any case.
 const SHORT_WAIT_MS: u64 = 2_000;
 
-/// Number of daemons of the fleet that confirm a watch by a renewal. The others of a larger fleet
+/// Mean number of daemons of the fleet that confirm a watch by a renewal. The others of a larger fleet
 /// learn from their gossip that they are behind.
 const CONFIRMING_DAEMONS: usize = 200;
 
