--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod paths;
 pub mod queue;
+pub mod quota;
 pub mod rate;
 pub mod retry;
 pub mod retry_budget;
