--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -464,5 +464,6 @@
         Reason::Crashed => "refused.crashed",
         Reason::StoreUnavailable => "refused.store_unavailable",
         Reason::Internal => "refused.internal",
+        Reason::QuotaExceeded => "refused.quota_exceeded",
     }
 }
--- a/src/mesh/edge.rs
+++ b/src/mesh/edge.rs
@@ -47,7 +47,7 @@
         let verdict = self
             .admission
             .borrow_mut()
-            .decide(&request.route.name, draw, now_us);
+            .decide(&request.class, draw, now_us);
         let Verdict::Refuse {
             bottleneck,
             load_permille,
@@ -62,7 +62,7 @@
         let jitter: f64 = self.rng.borrow_mut().random_range(0.5..1.5);
         let span_ms = RETRY_AFTER_SPAN_MS * (1.0 - admitted_share) * jitter;
         let after_ms = f64::from(RETRY_AFTER_MIN_MS) + span_ms;
-        let after_ms = (after_ms as u32).min(request.max_retry_after_ms(now_us));
+        let after_ms = request.bounded_retry_after_ms(after_ms, now_us);
         Some(Refusal::not_run(Reason::Overload).retry_after_ms(after_ms))
     }
 
@@ -85,6 +85,11 @@
 }
 
 impl RoutedRequest {
+    /// Retry delay to advise, bounded by what the client honours.
+    pub(super) fn bounded_retry_after_ms(&self, after_ms: f64, now_us: u64) -> u32 {
+        (after_ms as u32).min(self.max_retry_after_ms(now_us))
+    }
+
     /// Longest retry delay that the client honours, from the remaining time that it stated.
     fn max_retry_after_ms(&self, now_us: u64) -> u32 {
         let took_ms = now_us.saturating_sub(self.started_us) / 1_000;
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -8,8 +8,9 @@
             edge::RETRY_AFTER_MIN_MS,
             gate::Running,
             http::{self, Head},
+            organisations::{AuthenticationError, OrganisationKey, Organisations},
             protocol::RequestMetadata,
-            routes::Route,
+            routes::{Route, RouteTable},
             runtime::now_us,
             sends::{RETRY_AFTER_NO_WORKER_MS, SendHistory},
         },
@@ -17,7 +18,7 @@
         request::{Importance, Outcome, Reason, Refusal, ServiceName},
     },
     rand::RngExt,
-    smol_str::SmolStr,
+    smol_str::{SmolStr, format_smolstr},
     std::rc::Rc,
 };
 
@@ -46,6 +47,13 @@
     pub(super) metadata: RequestMetadata,
     pub(super) route: Rc<Route>,
     pub(super) service: ServiceName,
+    /// Organisation of the client; `None` for calls of the local worker and on public routes.
+    pub(super) organisation: Option<OrganisationKey>,
+    /// Requests that admission control treats alike: those of one route and of equally important
+    /// organisations.
+    pub(super) class: SmolStr,
+    /// Configuration that the request was authenticated and routed by.
+    pub(super) table: Rc<RouteTable>,
     pub(super) importance: Importance,
     pub(super) root_importance: Importance,
     pub(super) bucket: u8,
@@ -91,7 +99,16 @@
             self.protocol.write_refusal(&mut answer.fields, &attempt_id);
             return answer;
         };
-        let request = self.routed_request(metadata, Rc::clone(route), &inbound, now_us);
+        let credential = self.protocol.credential(&inbound.head);
+        let organisation = match table
+            .organisations
+            .authenticate(credential, route.is_public)
+        {
+            Ok(organisation) => organisation,
+            Err(error) => return self.challenge(&attempt_id, route, error),
+        };
+        let route = Rc::clone(route);
+        let request = self.routed_request(metadata, &table, route, organisation, &inbound, now_us);
         let refused = self.admit(&request, now_us);
         let mut history = SendHistory::new();
         let mut open_request = OpenRequest {
@@ -101,16 +118,38 @@
         };
         let result = match refused {
             Some(refusal) => Err(refusal),
-            None => self.forward(&request, &inbound, &mut history).await,
+            None => {
+                self.forward_with_token(&request, &inbound, &mut history)
+                    .await
+            }
         };
         open_request.is_open = false;
         self.finish_request(&request, &history, result)
     }
 
+    /// Forwards a request that its organisation's quota admits.
+    async fn forward_with_token(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        inbound: &Inbound,
+        history: &mut SendHistory,
+    ) -> Result<Answer, Refusal> {
+        let token = self.take_token(request).await?;
+        let result = self.forward(request, inbound, history).await;
+        if let (Some(token), Err(refusal)) = (&token, &result)
+            && refusal.outcome == Outcome::NotRun
+        {
+            self.restore_token(token);
+        }
+        result
+    }
+
     fn routed_request(
         &self,
         metadata: RequestMetadata,
+        table: &Rc<RouteTable>,
         route: Rc<Route>,
+        organisation: Option<OrganisationKey>,
         inbound: &Inbound,
         now_us: u64,
     ) -> RoutedRequest {
@@ -118,9 +157,17 @@
         let deadline_us = now_us + client_ms.min(route.timeout_ms) * 1_000;
         let parent = self.parent(&metadata.attempt_id);
         let service = self.round_robin.borrow_mut().next_service(&route);
+        let importance = table.importance(&route, organisation);
+        let class = match table.organisation_rank(organisation) {
+            0 => route.name.clone(),
+            rank => format_smolstr!("{}+{rank}", route.name),
+        };
         let mut request = RoutedRequest {
-            importance: route.importance.at_gate(false),
-            root_importance: route.importance,
+            importance: importance.at_gate(false),
+            root_importance: importance,
+            organisation,
+            class,
+            table: Rc::clone(table),
             bucket: self.rng.borrow_mut().random(),
             depth: 0,
             parent: None,
@@ -159,9 +206,26 @@
         ))
     }
 
+    /// Answers a request that is not authenticated.
+    fn challenge(&self, attempt_id: &str, route: &Route, error: AuthenticationError) -> Answer {
+        tracing::info!(attempt = %attempt_id, route = %route.name, %error,
+            version = %self.config_version(), "not authenticated");
+        self.metrics.count("ingress.not_authenticated");
+        let mut answer = Answer::empty(401);
+        self.protocol.write_refusal(&mut answer.fields, attempt_id);
+        self.protocol.write_challenge(&mut answer.fields);
+        answer
+    }
+
     /// Encodes the request line and the end-to-end fields as the head of a call's payload, without
-    /// the fields that the daemon sets itself.
-    pub(super) fn payload_head(&self, head: &Head) -> Vec<u8> {
+    /// the fields that the daemon sets itself, and with the organisation of the client. Daemons of
+    /// earlier builds pass it on to their workers unchanged.
+    pub(super) fn payload_head(
+        &self,
+        head: &Head,
+        organisations: &Organisations,
+        organisation: Option<OrganisationKey>,
+    ) -> Vec<u8> {
         let mut out = Vec::with_capacity(512);
         for part in [
             head.method.as_str(),
@@ -171,7 +235,15 @@
         ] {
             out.extend_from_slice(part.as_bytes());
         }
-        head.write_fields(&mut out, |name| self.protocol.is_daemon_field(name));
+        let hides_credentials = !organisations.is_empty();
+        head.write_fields(&mut out, |name| {
+            self.protocol.is_daemon_field(name)
+                || (hides_credentials && self.protocol.is_credential_field(name))
+        });
+        if let Some(key) = organisation {
+            let name = &organisations.get(key).name;
+            self.protocol.write_organisation(&mut out, name);
+        }
         out
     }
 
@@ -238,7 +310,7 @@
     fn refusal_answer(&self, attempt_id: &str, refusal: Refusal) -> Answer {
         self.metrics.count("answer.refused");
         let status = match (refusal.outcome, refusal.reason) {
-            (Outcome::NotRun, Reason::Overload) => 429,
+            (Outcome::NotRun, Reason::Overload | Reason::QuotaExceeded) => 429,
             (Outcome::NotRun, _) => 503,
             (_, Reason::Deadline) => 504,
             _ => 502,
--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -15,6 +15,7 @@
             lag::LagTracker,
             runtime::{now_us, sleep_ms},
         },
+        policy::quota::message::Datagram,
     },
     std::{io, rc::Rc},
     tokio::net::UdpSocket,
@@ -51,7 +52,8 @@
 ///
 /// Fails if the address cannot be bound.
 pub async fn run(mesh: Rc<Mesh>) -> io::Result<()> {
-    let socket = UdpSocket::bind(mesh.settings.calls_addr).await?;
+    let socket = Rc::new(UdpSocket::bind(mesh.settings.calls_addr).await?);
+    mesh.quotas.set_socket(&socket);
     let receiving = std::pin::pin!(receive(&mesh, &socket));
     let ticking = std::pin::pin!(tick(&mesh, &socket));
     futures::future::select(receiving, ticking).await;
@@ -70,6 +72,10 @@
                 continue;
             }
         };
+        if Datagram::is_quota(&buffer[..size_bytes]) {
+            mesh.receive_quota(&buffer[..size_bytes], from);
+            continue;
+        }
         let message = match Message::decode(&buffer[..size_bytes]) {
             Ok(message) => message,
             Err(error) => {
@@ -89,6 +95,7 @@
     loop {
         let out = mesh.update_fleet(|fleet, out| fleet.tick(now_us(), out));
         send(mesh, socket, out).await;
+        mesh.tick_quotas();
         sleep_ms(TICK_MS).await;
     }
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -24,10 +24,12 @@
 pub mod lag;
 pub mod latency;
 pub mod link;
+pub mod organisations;
 pub mod peers;
 pub mod pool;
 pub mod ports;
 pub mod protocol;
+pub mod quota;
 pub mod registry;
 pub mod routes;
 pub mod runtime;
@@ -56,6 +58,7 @@
     link::{Link, Outbox},
     pool::Pool,
     protocol::{PlatformStore, Protocol},
+    quota::Quotas,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     registry::Registry,
@@ -111,6 +114,8 @@
     pub circuit_breakers: RefCell<CircuitBreakers>,
     /// Retry budget of each service.
     pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Requests suspected of crashing workers.
     pub crashes: CrashTracker,
     /// Synchronisation with the store.
@@ -188,6 +193,7 @@
         };
         let generation = Generation::starting(started_unix_ms, rng.random());
         let fleet = Fleet::new(gossip::rules(), place, generation, rng.random());
+        let quotas = Quotas::new(settings.quota, fleet.local_member(), now_us());
         Rc::new(Self {
             gate: RefCell::new(LocalGate::new(Gate::new(rules, rng.random()))),
             pool: Pool::new(Rc::clone(&protocol)),
@@ -206,6 +212,7 @@
             admission: RefCell::default(),
             circuit_breakers: RefCell::default(),
             retry_budgets: RefCell::default(),
+            quotas,
             crashes: CrashTracker::new(),
             registry: Registry::default(),
             startup: RefCell::default(),
@@ -247,6 +254,7 @@
     pub fn stop(self: &Rc<Self>, now_us: u64) {
         self.stopping_since_us.set(Some(now_us));
         self.gate.borrow_mut().stop(now_us);
+        self.resign_quotas(now_us);
         self.publish();
     }
 
@@ -312,11 +320,12 @@
             return false;
         }
         tracing::info!(version = %table.version, replaced = %in_force, %source,
-            routes = table.len(), bytes = document.len(), "configuration in force");
+            routes = table.len(), organisations = table.organisations.len(), bytes = document.len(), "configuration in force");
         self.metrics.count(source.counter());
         self.fleet
             .borrow_mut()
             .set_revision(Revision(table.version.0));
+        self.quotas.apply(&table.organisations);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         *self.config_document.borrow_mut() = document.to_vec();
         true
--- a/src/mesh/ports.rs
+++ b/src/mesh/ports.rs
@@ -194,6 +194,7 @@
             "gauge",
             self.directory.borrow().len() as u64,
         );
+        self.quotas.write_metrics(&mut text);
         self.latencies.write(&mut text);
         text
     }
--- a/src/mesh/protocol.rs
+++ b/src/mesh/protocol.rs
@@ -6,6 +6,7 @@
         mesh::{
             frame::WorkerIncarnation,
             http::Head,
+            organisations::Credential,
             routes::{ConfigError, RouteTable},
         },
         request::ServiceName,
@@ -113,9 +114,21 @@
     /// Decodes the metadata of a client's request; `None` without an attempt id.
     fn request_metadata(&self, head: &Head) -> Option<RequestMetadata>;
 
+    /// Decodes what a client's request says of its organisation.
+    fn credential<'a>(&self, head: &'a Head) -> Credential<'a>;
+
+    /// Returns whether a field carries a client's credential, which no worker may see.
+    fn is_credential_field(&self, name: &str) -> bool;
+
     /// Returns whether the daemon sets this request field itself, replacing the client's value.
     fn is_daemon_field(&self, name: &str) -> bool;
 
+    /// Writes the field that tells a worker the organisation of a request.
+    fn write_organisation(&self, out: &mut Vec<u8>, name: &str);
+
+    /// Writes the field of an answer that asks the client for a credential.
+    fn write_challenge(&self, out: &mut Vec<u8>);
+
     /// Writes the fields that the daemon adds to a request for a worker.
     fn write_request_context(&self, out: &mut Vec<u8>, context: RequestContext<'_>);
 
--- a/src/mesh/routes.rs
+++ b/src/mesh/routes.rs
@@ -1,8 +1,9 @@
-//! Configuration in force: routes of requests to services, and limits on clients.
+//! Configuration in force: routes of requests to services, organisations, and limits on clients.
 
 use {
     crate::{
         collections::HashMap,
+        mesh::organisations::{Organisation, OrganisationKey, Organisations},
         request::{Importance, ServiceName},
     },
     derive_more::{Display, Error},
@@ -41,6 +42,8 @@
     pub importance: Importance,
     /// Largest number of workers that one request may be sent to.
     pub max_attempts: u32,
+    /// Whether requests need no API key.
+    pub is_public: bool,
     /// Services that share the requests.
     pub shares: Vec<Share>,
 }
@@ -92,16 +95,20 @@
 }
 
 /// Validated version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteTable {
     /// Version.
     pub version: ConfigVersion,
     /// Limits on clients.
     pub limits: ClientLimits,
+    /// Organisations whose clients send requests.
+    pub organisations: Organisations,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<SmolStr, Vec<Rc<Route>>>,
-    /// Importances in use, highest first.
-    importances: Vec<Importance>,
+    /// Importances of routes in use, highest first.
+    route_importances: Vec<Importance>,
+    /// Importances of organisations in use, highest first.
+    organisation_importances: Vec<Importance>,
 }
 
 impl RouteTable {
@@ -114,26 +121,28 @@
     pub fn new(
         version: ConfigVersion,
         limits: ClientLimits,
+        organisations: Organisations,
         routes: impl IntoIterator<Item = (SmolStr, Route)>,
     ) -> Result<Self, ConfigError> {
         let mut hosts: HashMap<SmolStr, Vec<Rc<Route>>> = HashMap::default();
-        let mut importances = Vec::new();
+        let mut route_importances = Vec::new();
         for (host, route) in routes {
             validate(&route)?;
-            importances.push(route.importance);
+            route_importances.push(route.importance);
             let host = SmolStr::from(host.to_ascii_lowercase());
             hosts.entry(host).or_default().push(Rc::new(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
-        importances.sort_unstable();
-        importances.dedup();
+        let organisation_importances = organisations.iter().map(|known| known.importance);
         Ok(Self {
             version,
             limits,
             hosts,
-            importances,
+            route_importances: distinct(route_importances),
+            organisation_importances: distinct(organisation_importances.collect()),
+            organisations,
         })
     }
 
@@ -148,10 +157,45 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Number of importances in use that are higher than this one.
-    pub fn importance_index(&self, importance: Importance) -> usize {
-        self.importances
-            .partition_point(|known| *known < importance)
+    /// Importance of a client's request: that of its organisation first, then that of its route. A
+    /// request without an organisation counts as one of the most important organisation.
+    pub fn importance(&self, route: &Route, organisation: Option<OrganisationKey>) -> Importance {
+        let Some(key) = organisation else {
+            return route.importance;
+        };
+        let Organisation { importance, .. } = self.organisations.get(key);
+        let more_important = partition(&self.organisation_importances, *importance);
+        let stride = self.importance_stride();
+        let combined = more_important * stride + usize::from(route.importance.0);
+        Importance(u8::try_from(combined).unwrap_or(u8::MAX))
+    }
+
+    /// Number of levels of organisations in use that are more important than this one.
+    pub fn organisation_rank(&self, organisation: Option<OrganisationKey>) -> usize {
+        organisation.map_or(0, |key| {
+            let importance = self.organisations.get(key).importance;
+            partition(&self.organisation_importances, importance)
+        })
+    }
+
+    /// Precedence of the route in an importance returned by [`Self::importance`], between 0 and 1; 1
+    /// for the most important routes.
+    pub fn route_precedence(&self, importance: Importance) -> f64 {
+        let levels = self.route_importances.len().max(1) as f64;
+        1.0 - self.route_importance_index(importance) as f64 / levels
+    }
+
+    /// Difference between the importances of one route for two adjacent levels of organisations.
+    fn importance_stride(&self) -> usize {
+        let lowest = self.route_importances.last();
+        lowest.map_or(1, |lowest| usize::from(lowest.0) + 1)
+    }
+
+    /// Number of route importances in use that are higher than the one in an importance returned by
+    /// [`Self::importance`].
+    pub fn route_importance_index(&self, importance: Importance) -> usize {
+        let of_route = usize::from(importance.0) % self.importance_stride();
+        partition(&self.route_importances, Importance(of_route as u8))
     }
 
     /// Number of routes.
@@ -165,6 +209,17 @@
     }
 }
 
+fn distinct(mut importances: Vec<Importance>) -> Vec<Importance> {
+    importances.sort_unstable();
+    importances.dedup();
+    importances
+}
+
+/// Number of importances that are higher than this one.
+fn partition(importances: &[Importance], importance: Importance) -> usize {
+    importances.partition_point(|known| *known < importance)
+}
+
 fn validate(route: &Route) -> Result<(), ConfigError> {
     let error = |detail: &str| Err(ConfigError::new(route.name.clone(), detail));
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -76,7 +76,8 @@
         inbound: &Inbound,
         history: &mut SendHistory,
     ) -> Result<Answer, Refusal> {
-        let head = self.payload_head(&inbound.head);
+        let organisations = &request.table.organisations;
+        let head = self.payload_head(&inbound.head, organisations, request.organisation);
         let payload = [head.as_slice(), inbound.body.as_slice()];
         self.retry_budget(&request.service)
             .count_first_send(self.settings.retry_budget, request.started_us);
@@ -126,9 +127,9 @@
     /// Returns whether there was a token.
     fn spend_retry_token(&self, request: &RoutedRequest, now_us: u64) -> bool {
         let table = self.routes.borrow();
-        let importance_index = table
-            .as_ref()
-            .map_or(0, |table| table.importance_index(request.root_importance));
+        let importance_index = table.as_ref().map_or(0, |table| {
+            table.route_importance_index(request.root_importance)
+        });
         let mut retry_budget = self.retry_budget(&request.service);
         let has_token = retry_budget.try_extra_send(
             self.settings.retry_budget,
@@ -302,7 +303,7 @@
             calls: most_loaded.calls,
             has_failed,
         };
-        let (class, importance) = (&request.route.name, request.route.importance);
+        let (class, importance) = (&request.class, request.root_importance);
         let mut admission = self.admission.borrow_mut();
         admission.report(class, importance, bottleneck, now_us);
     }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         place::{DataCentre, Region},
-        policy::retry_budget::RetryBudgetRules,
+        policy::{quota::QuotaRules, retry_budget::RetryBudgetRules},
         request::ServiceName,
         settings::{SettingsError, SettingsErrors, line_of},
     },
@@ -15,6 +15,12 @@
 /// Name of the section with all settings of a daemon on the platform.
 pub const SECTION: &str = "mesh";
 
+/// Window in which the requests of an organisation are counted, unless set.
+const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
+
+/// Share by which the requests in a window may exceed a quota, unless set.
+const DEFAULT_QUOTA_OVERAGE: f64 = 0.1;
+
 /// Returns whether a settings file is for a daemon on the platform.
 pub fn is_mesh(text: &str) -> bool {
     Ini::load_from_str(text).is_ok_and(|ini| ini.section(Some(SECTION)).is_some())
@@ -51,6 +57,8 @@
     pub grace_ms: u64,
     /// Limit on retries to a service.
     pub retry_budget: RetryBudgetRules,
+    /// Limits on what organisations send.
+    pub quota: QuotaRules,
     /// Lowest level that is logged.
     pub log_level: tracing::Level,
 }
@@ -103,6 +111,8 @@
         let grace_s = self.positive("grace-s");
         let ratio = self.positive("retry-ratio");
         let window_s = self.positive("retry-window-s");
+        let quota_window_s = self.positive_or("quota-window-s", DEFAULT_QUOTA_WINDOW_S);
+        let quota_overage = self.positive_or("quota-overage", DEFAULT_QUOTA_OVERAGE);
         let log_level = self.get("log-level");
         Some(MeshSettings {
             name: name?,
@@ -122,6 +132,7 @@
                 ratio: ratio?,
                 window_us: (window_s? * 1e6) as u64,
             },
+            quota: QuotaRules::new((quota_window_s? * 1e6) as u64, quota_overage?),
             log_level: log_level?,
         })
     }
@@ -135,6 +146,15 @@
         None
     }
 
+    /// Value of a key that may be missing or empty, as on platforms without quotas.
+    fn positive_or(&mut self, key: &'static str, default: f64) -> Option<f64> {
+        let text = self.ini.get_from(Some(SECTION), key).map(str::trim);
+        if text.unwrap_or_default().is_empty() {
+            return Some(default);
+        }
+        self.positive(key)
+    }
+
     fn get<T: FromStr>(&mut self, key: &'static str) -> Option<T> {
         let text = self
             .ini
--- a/src/request.rs
+++ b/src/request.rs
@@ -168,6 +168,9 @@
     /// An internal fault of the daemon.
     #[display("internal")]
     Internal,
+    /// The organisation of the client has used up its quota.
+    #[display("quota-exceeded")]
+    QuotaExceeded,
 }
 
 impl Reason {
--- a/tests/mesh/explained.rs
+++ b/tests/mesh/explained.rs
@@ -12,7 +12,7 @@
 };
 
 /// Runs a test and returns the lines logged by all daemons during it.
-fn logged(test: impl Future<Output = ()>) -> String {
+pub(crate) fn logged(test: impl Future<Output = ()>) -> String {
     enable_log_lines();
     let buffer = SharedBuffer::default();
     let (log, subscriber) = mesh_log(tracing::Level::INFO, buffer.clone());
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -20,7 +20,7 @@
         },
         place::{DataCentre, Region},
         platform::WireProtocol,
-        policy::retry_budget::RetryBudgetRules,
+        policy::{quota::QuotaRules, retry_budget::RetryBudgetRules},
         store::{LeaseId, StoreError},
     },
     smol_str::SmolStr,
@@ -838,6 +838,7 @@
             ratio: 0.2,
             window_us: 10_000_000,
         },
+        quota: QuotaRules::new(5_000_000, 0.1),
         log_level: tracing::Level::INFO,
     };
     start_daemon(index, settings, worker, store, 1)
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod left;
 mod need;
+mod organisations;
 mod planned;
 mod requests;
 mod store;
--- a/tests/mesh_routes.rs
+++ b/tests/mesh_routes.rs
@@ -3,6 +3,7 @@
 use {
     shallotdeal::{
         mesh::{
+            organisations::{AuthenticationError, Credential, Organisations},
             protocol::{ControlRequest, Protocol},
             routes::{ClientLimits, ConfigVersion, Route, RouteTable, Share, WeightedRoundRobin},
         },
@@ -39,6 +40,7 @@
         target_latency_ms: 500,
         importance: Importance(0),
         max_attempts: 2,
+        is_public: false,
         shares: shares.collect(),
     }
 }
@@ -102,7 +104,156 @@
 #[test]
 fn a_route_whose_weights_add_up_to_zero_is_rejected() {
     let routes = [("host".into(), route("/", &[0]))];
-    assert!(RouteTable::new(ConfigVersion(1), ClientLimits::default(), routes).is_err());
+    assert!(
+        RouteTable::new(
+            ConfigVersion(1),
+            ClientLimits::default(),
+            Organisations::default(),
+            routes
+        )
+        .is_err()
+    );
+}
+
+/// Document with organisations.
+const ORGANISATIONS: &str = r#"{"Version":"r12","Services":[{"Name":"a"}],
+"Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,"IdleTimeoutMs":400},
+"Tenants":[{"Name":"one","ApiKeys":["key1","key2"],"Priority":1,"RatePerS":20,"Burst":30.5},
+{"Name":"two","ApiKeys":["key3"],"Priority":0}],
+"VirtualHosts":[{"Host":"h","Paths":[
+{"Name":"r1","Prefix":"/x/","Kind":"idempotent","TimeoutMs":800,"TargetLatencyMs":500,"Priority":2,"Service":"a","MaxAttempts":2},
+{"Name":"r2","Prefix":"/y/","Kind":"idempotent","TimeoutMs":900,"TargetLatencyMs":500,"Service":"a","MaxAttempts":1,"Public":true}]}]}"#;
+
+#[test]
+fn organisations_are_found_by_their_keys() {
+    let table = decode(ORGANISATIONS).unwrap();
+    let known = &table.organisations;
+    let name = |credential, is_public| {
+        let key = known.authenticate(credential, is_public)?;
+        Ok(key.map(|key| known.get(key).name.to_string()))
+    };
+    assert_eq!(name(Credential::Key("key2"), false), Ok(Some("one".into())));
+    assert_eq!(name(Credential::Key("key3"), true), Ok(Some("two".into())));
+    assert_eq!(name(Credential::Key("key"), true), Ok(None));
+    assert_eq!(name(Credential::Missing, true), Ok(None));
+    let refused = [
+        (Credential::Key("key"), AuthenticationError::Unknown),
+        (Credential::Missing, AuthenticationError::Missing),
+        (Credential::Malformed, AuthenticationError::Malformed),
+    ];
+    for (credential, error) in refused {
+        assert_eq!(name(credential, false), Err(error));
+    }
+    let quotas: Vec<_> = known.iter().map(|known| known.quota).collect();
+    let quota = quotas[0].unwrap();
+    assert_eq!((quota.rate_per_s, quota.burst), (20.0, 30.5));
+    assert_eq!(quotas[1], None);
+}
+
+#[test]
+fn without_organisations_no_key_is_needed() {
+    let known = decode(DOCUMENT).unwrap().organisations;
+    for credential in [
+        Credential::Missing,
+        Credential::Key("any"),
+        Credential::Malformed,
+    ] {
+        assert_eq!(known.authenticate(credential, false), Ok(None));
+    }
+}
+
+#[test]
+fn malformed_organisations_are_rejected() {
+    for (from, to) in [
+        (r#""key3""#, r#""key1""#),
+        (r#""key3""#, r#""""#),
+        (r#""key3""#, r#""ke y""#),
+        (r#""key3""#, r#""k\u00e9y""#),
+        (r#""two""#, r#""one""#),
+        (r#""two""#, r#""""#),
+        (r#""two""#, r#""tw\r\no""#),
+        (r#""Priority":1"#, r#""Priority":256"#),
+        (r#""Priority":1"#, r#""Priority":-1"#),
+        (r#""RatePerS":20"#, r#""RatePerS":-20"#),
+        (r#""Burst":30.5"#, r#""Burst":"30""#),
+    ] {
+        let document = ORGANISATIONS.replacen(from, to, 1);
+        assert_ne!(document, ORGANISATIONS);
+        assert!(decode(&document).is_err(), "{from} -> {to}");
+    }
+}
+
+#[test]
+fn errors_about_organisations_name_no_key() {
+    let document = ORGANISATIONS.replacen(r#""key3""#, r#""key1""#, 1);
+    let error = decode(&document).unwrap_err();
+    assert!(error.contains("two") && error.contains("one"), "{error}");
+    assert!(!error.contains("key1"), "{error}");
+    let table = format!("{:?}", decode(ORGANISATIONS).unwrap());
+    assert!(!table.contains("key1"), "{table}");
+}
+
+/// Load pattern: two organisations of different importance send requests of all classes.
+#[test]
+fn the_importance_of_the_organisation_precedes_that_of_the_route() {
+    let table = decode(ORGANISATIONS).unwrap();
+    let find = |key| {
+        let found = table
+            .organisations
+            .authenticate(Credential::Key(key), false);
+        found.unwrap()
+    };
+    let (less, more) = (find("key1"), find("key3"));
+    let read = table.find("h", "/x/").unwrap();
+    let open = table.find("h", "/y/").unwrap();
+    let mut ordered = [(open, more), (read, more), (open, less), (read, less)]
+        .map(|(route, organisation)| table.importance(route, organisation));
+    let expected = ordered;
+    ordered.sort_unstable();
+    assert_eq!(ordered, expected);
+    assert!(
+        ordered.windows(2).all(|pair| pair[0] < pair[1]),
+        "{ordered:?}"
+    );
+    let indexes = ordered.map(|importance| table.route_importance_index(importance));
+    assert_eq!(indexes, [0, 1, 0, 1]);
+}
+
+fn credential_of(fields: &str) -> String {
+    let text = format!("GET / HTTP/1.1\r\nHost: a\r\n{fields}\r\n");
+    let (head, _) = shallotdeal::mesh::http::parse_request(text.as_bytes())
+        .unwrap()
+        .unwrap();
+    match WireProtocol.credential(&head) {
+        Credential::Key(key) => key.into(),
+        other => format!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_credential_is_exactly_one_key() {
+    for (fields, expected) in [
+        ("Authorization: Token abc\r\n", "abc"),
+        ("authorization: token abc \r\n", "abc"),
+        ("", "Missing"),
+        ("Authorization:\r\n", "Malformed"),
+        ("Authorization: abc\r\n", "Malformed"),
+        ("Authorization: Bearer abc\r\n", "Malformed"),
+        (
+            "Authorization: Token abc\r\nAuthorization: Token abc\r\n",
+            "Malformed",
+        ),
+        (
+            "Authorization: Token abc\r\nauthorization: Token xyz\r\n",
+            "Malformed",
+        ),
+        (
+            "Connection: authorization\r\nAuthorization: Token abc\r\n",
+            "Missing",
+        ),
+    ] {
+        assert_eq!(credential_of(fields), expected, "{fields}");
+    }
 }
 
 fn decode_control(path: &str, body: &str) -> Result<ControlRequest, String> {
