--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -1,5 +1,11 @@
-//! Frames between daemons: a fixed prefix, a message encoded with `postcard`, and a payload with
-//! the raw bytes of a request or an answer.
+//! Frames between daemons: a fixed prefix, a message encoded with `postcard`, its extensions, and a
+//! payload with the raw bytes of a request or an answer.
+//!
+//! Daemons of different builds exchange frames during an upgrade. The types of messages as of build
+//! c7976c0 are therefore fixed; what later builds add to them is an extension: a tag, a length and
+//! bytes after the message. A build skips extensions that it does not know, and so do builds before
+//! them, whose decoder ignores all bytes after the message. A build skips whole messages that it
+//! does not know; c7976c0 closes the connection on one, so that none may be sent to it.
 //!
 //! capnp-rpc costs more processor time than all other work on a call (docs/design/platform.md), so
 //! the frames are sent over a plain TCP connection.
@@ -29,6 +35,9 @@
 /// Seed of the hash that maps a [`WorkerIncarnation`] to an [`Incarnation`].
 const INCARNATION_SEED: u64 = 0x6c69_6665;
 
+/// Tag of [`Extensions::organisation_checked`].
+const ORGANISATION_CHECKED: u64 = 1;
+
 /// Error while reading a frame.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Display, Error)]
@@ -44,6 +53,14 @@
     },
 }
 
+impl From<postcard::Error> for FrameError {
+    fn from(error: postcard::Error) -> Self {
+        Self::Malformed {
+            detail: smol_str::format_smolstr!("{error}"),
+        }
+    }
+}
+
 /// Number of a call, unique on its link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -189,6 +206,65 @@
     Crashes(Vec<CrashRecord>),
 }
 
+impl Message {
+    /// Number of the variants that this build knows.
+    const VARIANTS: u64 = 8;
+
+    /// Decodes a message and returns the bytes after it; `None` for one that a later build added.
+    fn decode(bytes: &[u8]) -> Result<Option<(Self, &[u8])>, FrameError> {
+        let (variant, _) = postcard::take_from_bytes::<u64>(bytes)?;
+        if variant >= Self::VARIANTS {
+            return Ok(None);
+        }
+        Ok(Some(postcard::take_from_bytes(bytes)?))
+    }
+}
+
+/// What builds after c7976c0 add to messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Extensions {
+    /// Whether the sender of a call has checked the client's API key and set its organisation.
+    pub organisation_checked: bool,
+}
+
+impl Extensions {
+    /// Extensions of all messages of this build.
+    const OWN: Self = Self {
+        organisation_checked: true,
+    };
+
+    /// Appends the extensions of a message.
+    fn encode(self, message: &Message, out: &mut Vec<u8>) {
+        if self.organisation_checked && matches!(message, Message::Call(..)) {
+            out.extend_from_slice(&[ORGANISATION_CHECKED as u8, 0]);
+        }
+    }
+
+    /// Decodes extensions, skipping unknown ones.
+    fn decode(mut bytes: &[u8]) -> Result<Self, FrameError> {
+        let mut extensions = Self::default();
+        while !bytes.is_empty() {
+            let ((tag, value), rest): ((u64, &[u8]), _) = postcard::take_from_bytes(bytes)?;
+            if tag == ORGANISATION_CHECKED {
+                extensions.organisation_checked = value.is_empty();
+            }
+            bytes = rest;
+        }
+        Ok(extensions)
+    }
+}
+
+/// Frame as received.
+#[derive(Debug)]
+pub struct Frame {
+    /// Message.
+    pub message: Message,
+    /// What later builds add to it.
+    pub extensions: Extensions,
+    /// Raw bytes of a request or an answer.
+    pub payload: Vec<u8>,
+}
+
 /// Appends a frame.
 pub fn write(out: &mut Vec<u8>, message: &Message, payload: &[&[u8]]) {
     let start = out.len();
@@ -196,6 +272,7 @@
     let encoded = postcard::to_extend(message, std::mem::take(out));
     // Serialising these types into memory cannot fail.
     *out = encoded.expect("message types serialise");
+    Extensions::OWN.encode(message, out);
     let message_bytes = (out.len() - start - PREFIX_BYTES) as u32;
     let payload_bytes: usize = payload.iter().map(|part| part.len()).sum();
     out[start..start + 4].copy_from_slice(&message_bytes.to_le_bytes());
@@ -205,12 +282,21 @@
     }
 }
 
-/// Reads the next frame.
+/// Reads the next frame with a message that this build knows.
 ///
 /// # Errors
 ///
 /// Fails if the connection ends or the peer sends an invalid frame.
-pub async fn read(conn: &mut Conn) -> Result<(Message, Vec<u8>), FrameError> {
+pub async fn read(conn: &mut Conn) -> Result<Frame, FrameError> {
+    loop {
+        if let Some(frame) = read_any(conn).await? {
+            return Ok(frame);
+        }
+    }
+}
+
+/// Reads the next frame; `None` if it has a message that a later build added.
+async fn read_any(conn: &mut Conn) -> Result<Option<Frame>, FrameError> {
     fill(conn, PREFIX_BYTES).await?;
     let read_u32 = |at: usize| {
         let bytes = &conn.buffered()[at..at + 4];
@@ -224,13 +310,20 @@
     let payload_start = PREFIX_BYTES + message_bytes;
     fill(conn, payload_start + payload_bytes).await?;
     let bytes = conn.buffered();
-    let message = postcard::from_bytes(&bytes[PREFIX_BYTES..payload_start]).map_err(|error| {
-        let detail = smol_str::format_smolstr!("{error}");
-        FrameError::Malformed { detail }
-    })?;
-    let payload = bytes[payload_start..payload_start + payload_bytes].to_vec();
+    let decoded = Message::decode(&bytes[PREFIX_BYTES..payload_start])?;
+    let frame = match decoded {
+        Some((message, rest)) => Some(Frame {
+            message,
+            extensions: Extensions::decode(rest)?,
+            payload: bytes[payload_start..payload_start + payload_bytes].to_vec(),
+        }),
+        None => {
+            tracing::debug!("message of a later build skipped");
+            None
+        }
+    };
     conn.consume(payload_start + payload_bytes);
-    Ok((message, payload))
+    Ok(frame)
 }
 
 async fn fill(conn: &mut Conn, count: usize) -> Result<(), FrameError> {
--- a/src/mesh/gate.rs
+++ b/src/mesh/gate.rs
@@ -8,6 +8,7 @@
             Mesh,
             frame::{Call, CallResult, GateLoad, Reply, ServiceLoad, WorkerIncarnation},
             http,
+            organisations::AuthenticationError,
             pool::{ExchangeError, ExchangeErrorKind, WorkerAnswer},
             protocol::{RequestContext, WorkerReport, WorkerStatement},
             runtime::{now_us, sleep_until},
@@ -478,7 +479,58 @@
         .await
 }
 
+/// Runs a call from a build that knows no organisations. Checks the client's API key and sets the
+/// organisation, as the daemon that the client called has not.
+pub async fn serve_unchecked(
+    mesh: &Rc<Mesh>,
+    mut call: Call,
+    payload: Vec<u8>,
+) -> (Reply, Vec<u8>) {
+    let table = mesh.routes.borrow().clone();
+    let Some(table) = table.filter(|table| !table.organisations.is_empty()) else {
+        return serve(mesh, &call, &payload).await;
+    };
+    let (head, body) = payload.split_at((call.head_bytes as usize).min(payload.len()));
+    let parsed = http::parse_request(&[head, b"\r\n"].concat());
+    let Ok(Some((head, _))) = parsed else {
+        let refusal = Refusal::not_run(Reason::BadRequest);
+        return mesh.refusal_reply(&call, refusal, false);
+    };
+    let is_public = table
+        .find(&head.host, head.path())
+        .is_some_and(|route| route.is_public);
+    let credential = mesh.protocol.credential(&head);
+    match table.organisations.authenticate(credential, is_public) {
+        Ok(organisation) => {
+            let mut checked = mesh.payload_head(&head, &table.organisations, organisation);
+            call.head_bytes = checked.len() as u32;
+            checked.extend_from_slice(body);
+            serve(mesh, &call, &checked).await
+        }
+        Err(error) => mesh.unauthenticated_reply(&call, error),
+    }
+}
+
 impl Mesh {
+    /// Reply to a call whose client has no valid API key.
+    fn unauthenticated_reply(&self, call: &Call, error: AuthenticationError) -> (Reply, Vec<u8>) {
+        tracing::info!(attempt = %call.attempt_id, route = %call.route, %error,
+            "not authenticated by a daemon of an earlier build");
+        self.metrics.count("gate.not_authenticated");
+        let mut fields = Vec::new();
+        self.protocol.write_refusal(&mut fields, &call.attempt_id);
+        self.protocol.write_challenge(&mut fields);
+        let result = CallResult::Answer {
+            status: 401,
+            head_bytes: fields.len() as u32,
+            not_run: true,
+        };
+        (
+            self.reply(result, false, DownstreamOutcome::default()),
+            fields,
+        )
+    }
+
     fn refusal_reply(&self, call: &Call, refusal: Refusal, was_sent: bool) -> (Reply, Vec<u8>) {
         let load = self.gate.borrow().load(now_us());
         tracing::info!(attempt = %call.attempt_id, route = %call.route, %refusal, was_sent,
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -6,7 +6,7 @@
         mesh::{
             Mesh,
             conn::{Conn, write_all},
-            frame::{self, Call, CallNumber, Message, Reply},
+            frame::{self, Call, CallNumber, Frame, Message, Reply},
             runtime::{detach, now_us, sleep_ms},
         },
     },
@@ -341,7 +341,9 @@
 
 async fn read_frames(mesh: &Weak<Mesh>, session: &Session, conn: &mut Conn) -> SmolStr {
     loop {
-        let (message, payload) = match frame::read(conn).await {
+        let Frame {
+            message, payload, ..
+        } = match frame::read(conn).await {
             Ok(frame) => frame,
             Err(error) => return error.to_smolstr(),
         };
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -6,7 +6,7 @@
         mesh::{
             Mesh,
             conn::{self, Conn},
-            frame::{self, Call, CallNumber, Message},
+            frame::{self, Call, CallNumber, Extensions, Frame, Message},
             gate,
             link::Outbox,
             runtime::spawn,
@@ -61,7 +61,11 @@
     peer: SocketAddr,
 ) {
     loop {
-        let (message, payload) = match frame::read(conn).await {
+        let Frame {
+            message,
+            extensions,
+            payload,
+        } = match frame::read(conn).await {
             Ok(frame) => frame,
             Err(error) => {
                 tracing::debug!(%peer, %error, "peer connection ended");
@@ -69,7 +73,15 @@
             }
         };
         match message {
-            Message::Call(number, call) => start_call(mesh, outbox, calls, number, call, payload),
+            Message::Call(number, call) => {
+                let received = ReceivedCall {
+                    number,
+                    call,
+                    extensions,
+                    payload,
+                };
+                start_call(mesh, outbox, calls, received);
+            }
             Message::Cancel(number) => {
                 let task = calls.borrow_mut().remove(&number);
                 drop(task);
@@ -79,19 +91,30 @@
     }
 }
 
-fn start_call(
-    mesh: &Rc<Mesh>,
-    outbox: &Rc<Outbox>,
-    calls: &RunningCalls,
+/// Call of another daemon.
+struct ReceivedCall {
     number: CallNumber,
     call: Call,
+    extensions: Extensions,
     payload: Vec<u8>,
-) {
+}
+
+fn start_call(mesh: &Rc<Mesh>, outbox: &Rc<Outbox>, calls: &RunningCalls, received: ReceivedCall) {
+    let ReceivedCall {
+        number,
+        call,
+        extensions,
+        payload,
+    } = received;
     let mesh = Rc::clone(mesh);
     let outbox = Rc::clone(outbox);
     let own_calls = Rc::clone(calls);
     let task = spawn(async move {
-        let (reply, payload) = gate::serve(&mesh, &call, &payload).await;
+        let (reply, payload) = if extensions.organisation_checked {
+            gate::serve(&mesh, &call, &payload).await
+        } else {
+            gate::serve_unchecked(&mesh, call, payload).await
+        };
         outbox.push(&Message::Reply(number, reply), &[&payload]);
         let finished = own_calls.borrow_mut().remove(&number);
         if let Some(finished) = finished {
