Count lost daemons as parts of a quota for as long as the membership keeps them

Cause: after a minute both sides of a partition would have had the whole quota. Daemons that end in order now leave the membership, so that a rolling restart or a replacement loses no part.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -212,6 +212,7 @@
                 clients = mesh.clients.get(),
                 "stopped"
             );
+            mesh.leave_fleet(now_us);
             return;
         }
         sleep_ms(GATE_TICK_MS).await;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -311,16 +311,15 @@
     fill(conn, payload_start + payload_bytes).await?;
     let bytes = conn.buffered();
     let decoded = Message::decode(&bytes[PREFIX_BYTES..payload_start])?;
-    let frame = match decoded {
-        Some((message, rest)) => Some(Frame {
+    let frame = if let Some((message, rest)) = decoded {
+        Some(Frame {
             message,
             extensions: Extensions::decode(rest)?,
             payload: bytes[payload_start..payload_start + payload_bytes].to_vec(),
-        }),
-        None => {
-            tracing::debug!("message of a later build skipped");
-            None
-        }
+        })
+    } else {
+        tracing::debug!("message of a later build skipped");
+        None
     };
     conn.consume(payload_start + payload_bytes);
     Ok(frame)
--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -17,7 +17,7 @@
         },
         policy::quota::message::Datagram,
     },
-    std::{io, rc::Rc},
+    std::{io, net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
 };
 
@@ -53,7 +53,7 @@
 /// Fails if the address cannot be bound.
 pub async fn run(mesh: Rc<Mesh>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(mesh.settings.calls_addr).await?);
-    mesh.quotas.set_socket(&socket);
+    *mesh.datagrams.borrow_mut() = Some(Rc::clone(&socket));
     let receiving = std::pin::pin!(receive(&mesh, &socket));
     let ticking = std::pin::pin!(tick(&mesh, &socket));
     futures::future::select(receiving, ticking).await;
@@ -181,6 +181,26 @@
         out
     }
 
+    /// Tells other daemons that this one ends.
+    pub(super) fn leave_fleet(&self, now_us: u64) {
+        let out = self.update_fleet(|fleet, out| fleet.leave(now_us, out));
+        for Outgoing { to, message } in out {
+            self.send_datagram(to, &message.encode());
+        }
+    }
+
+    /// Sends a datagram to another daemon if the socket takes it at once.
+    pub(super) fn send_datagram(&self, to: SocketAddr, bytes: &[u8]) {
+        let socket = self.datagrams.borrow();
+        let Some(socket) = socket.as_ref() else {
+            return;
+        };
+        if let Err(error) = socket.try_send_to(bytes, to) {
+            tracing::debug!(%to, %error, "sending a datagram failed");
+            self.metrics.count("gossip.send_errors");
+        }
+    }
+
     /// Publishes the state of the local worker if it has changed.
     pub fn publish(&self) {
         let state = self.gate.borrow().worker_state();
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -71,6 +71,7 @@
         net::SocketAddr,
         rc::{Rc, Weak},
     },
+    tokio::net::UdpSocket,
 };
 
 /// Time after SIGTERM during which clients' requests are still accepted. The platform needs two
@@ -114,6 +115,8 @@
     pub circuit_breakers: RefCell<CircuitBreakers>,
     /// Retry budget of each service.
     pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Socket for datagrams to other daemons, once it is bound.
+    datagrams: RefCell<Option<Rc<UdpSocket>>>,
     /// Quotas of organisations.
     pub quotas: Quotas,
     /// Requests suspected of crashing workers.
@@ -212,6 +215,7 @@
             admission: RefCell::default(),
             circuit_breakers: RefCell::default(),
             retry_budgets: RefCell::default(),
+            datagrams: RefCell::default(),
             quotas,
             crashes: CrashTracker::new(),
             registry: Registry::default(),
--- a/src/mesh/quota.rs
+++ b/src/mesh/quota.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         collections::HashMap,
-        fleet::member::Member,
+        fleet::member::{Member, Status},
         mesh::{
             Mesh,
             forward::RoutedRequest,
@@ -12,7 +12,7 @@
             runtime::{now_us, sleep_until},
         },
         policy::quota::{
-            Decision, Outgoing, QuotaMember, QuotaNode, QuotaRules, RequestKey, Verdict,
+            Decision, Outgoing, Presence, QuotaMember, QuotaNode, QuotaRules, RequestKey, Verdict,
             message::{Datagram, Sender},
         },
         request::{Reason, Refusal},
@@ -30,7 +30,6 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::net::UdpSocket,
 };
 
 /// Interval at which the members are read from the gossip membership.
@@ -60,7 +59,6 @@
     node: RefCell<QuotaNode>,
     waiting: RefCell<HashMap<RequestKey, oneshot::Sender<Decision>>>,
     usage: RefCell<HashMap<SmolStr, Usage>>,
-    socket: RefCell<Option<Rc<UdpSocket>>>,
     members_read_us: Cell<u64>,
 }
 
@@ -78,16 +76,10 @@
             node: RefCell::new(QuotaNode::new(rules, quota_member(own), now_us)),
             waiting: RefCell::default(),
             usage: RefCell::default(),
-            socket: RefCell::default(),
             members_read_us: Cell::new(0),
         }
     }
 
-    /// Sets the socket for datagrams.
-    pub(super) fn set_socket(&self, socket: &Rc<UdpSocket>) {
-        *self.socket.borrow_mut() = Some(Rc::clone(socket));
-    }
-
     /// Applies the quotas of a newer configuration.
     pub(super) fn apply(&self, organisations: &Organisations) {
         let quotas = organisations
@@ -284,24 +276,13 @@
             if to == own_addr {
                 node.receive(datagram, own_addr, now_us(), &mut out);
             } else {
-                self.send_quota(to, &datagram);
+                // A lost datagram is sent again or loses tokens, see `policy::quota`.
+                self.send_datagram(to, &datagram.encode());
             }
         }
         self.deliver_quota_decisions();
     }
 
-    fn send_quota(&self, to: SocketAddr, datagram: &Datagram) {
-        let socket = self.quotas.socket.borrow();
-        let Some(socket) = socket.as_ref() else {
-            return;
-        };
-        // A lost datagram is sent again or loses tokens, see `policy::quota`.
-        if let Err(error) = socket.try_send_to(&datagram.encode(), to) {
-            tracing::debug!(%to, %error, "sending a quota datagram failed");
-            self.metrics.count("quota.send_errors");
-        }
-    }
-
     /// Delivers the decisions on requests that are registered as waiting.
     fn deliver_quota_decisions(&self) {
         let decisions = self.quotas.node.borrow_mut().take_decisions();
@@ -336,6 +317,10 @@
         },
         region: member.place.region.clone(),
         addr: member.place.gossip_addr,
-        is_live: member.status.is_live(),
+        presence: match member.status {
+            Status::Alive | Status::Suspect => Presence::Live,
+            Status::Dead => Presence::Lost,
+            Status::Left => Presence::Left,
+        },
     }
 }
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -20,8 +20,9 @@
 //!   asked. It is checked again after each wait.
 //! - A daemon that starts waits until the delegations of its predecessor have ended. An allocator
 //!   starts without tokens.
-//! - The number of parts counts lost daemons for [`QuotaRules::lost_member_us`], so that both sides of
-//!   a network partition go on with what they had.
+//! - The number of parts counts daemons that are out of reach for [`QuotaRules::lost_member_us`], so
+//!   that each side of a network partition goes on with its own parts. Those that have ended in order
+//!   are not counted.
 //!
 //! Organisations are divided into groups, each with its own allocator in each region. Silent
 //! organisations cost no messages.
@@ -37,7 +38,7 @@
 pub use {
     node::{Outgoing, QuotaCounters, QuotaNode},
     requester::{Decision, RequestKey, Verdict},
-    view::QuotaMember,
+    view::{Presence, QuotaMember},
 };
 
 use derive_more::{Display, Error};
@@ -118,7 +119,7 @@
             token_life_us: in_flight_us.clamp(50_000.0, 500_000.0) as u64,
             max_delay_us: 150_000,
             min_renew_us: 150_000,
-            lost_member_us: 60_000_000,
+            lost_member_us: 6 * 3_600_000_000,
         }
     }
 }
--- a/src/policy/quota/node.rs
+++ b/src/policy/quota/node.rs
@@ -142,7 +142,7 @@
         for sender in self.requester.tick(&allocators, now_us, out) {
             self.view.avoid(&sender, now_us);
         }
-        if is_settled {
+        if is_settled && !self.is_stopping {
             self.delegate(now_us, out);
         }
     }
@@ -153,6 +153,13 @@
         self.allocator.resign(now_us, out);
         let own = self.view.own().sender.clone();
         self.view.avoid_resigned(&own, now_us);
+        for group in 0..GROUPS {
+            if let Some((_, to)) = self.delegations[group].allocator() {
+                let mut groups = GroupSet::default();
+                groups.insert(group);
+                out.push(Outgoing::new(*to, DelegationMessage::Withdraw { groups }));
+            }
+        }
     }
 
     /// Handles a message of another daemon, or of this one to itself.
@@ -224,12 +231,16 @@
             }
             DelegationMessage::Withdrawn { groups, clock_us } => {
                 self.record_end(sender, groups, clock_us, now_us);
-                self.delegate(now_us, out);
+                if !self.is_stopping {
+                    self.delegate(now_us, out);
+                }
             }
             DelegationMessage::Resign { groups } => {
                 self.view.avoid_resigned(sender, now_us);
                 self.record_end(sender, groups, u64::MAX, now_us);
-                self.delegate(now_us, out);
+                if !self.is_stopping {
+                    self.delegate(now_us, out);
+                }
                 let allocators = self.allocators(now_us);
                 self.requester.move_asks(sender, &allocators, now_us, out);
             }
--- a/src/policy/quota/view.rs
+++ b/src/policy/quota/view.rs
@@ -17,6 +17,17 @@
 /// Longest time for which a daemon is not chosen.
 const MAX_AVOID_US: u64 = 60_000_000;
 
+/// What is known of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It is believed to run.
+    Live,
+    /// It is out of reach and may still run.
+    Lost,
+    /// It announced that it ends.
+    Left,
+}
+
 /// Daemon of the deployment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaMember {
@@ -26,8 +37,8 @@
     pub region: Region,
     /// Address for datagrams.
     pub addr: SocketAddr,
-    /// Whether it is believed to run.
-    pub is_live: bool,
+    /// What is known of it.
+    pub presence: Presence,
 }
 
 /// Interval in which a daemon is not chosen as allocator.
@@ -67,9 +78,17 @@
 
     /// Replaces the known daemons, other than this one.
     pub(super) fn update(&mut self, others: impl Iterator<Item = QuotaMember>, now_us: u64) {
-        let own_name = &self.own.sender.name;
-        let others = others.filter(|member| member.is_live && member.sender.name != *own_name);
-        self.members = std::iter::once(self.own.clone()).chain(others).collect();
+        let own_name = self.own.sender.name.clone();
+        self.members = vec![self.own.clone()];
+        for member in others.filter(|member| member.sender.name != own_name) {
+            match member.presence {
+                Presence::Live => self.members.push(member),
+                Presence::Lost => {}
+                Presence::Left => {
+                    self.seen_us.remove(&member.sender.name);
+                }
+            }
+        }
         for member in &self.members {
             self.seen_us.insert(member.sender.name.clone(), now_us);
         }
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -6,7 +6,8 @@
     shallotdeal::{
         place::Region,
         policy::quota::{
-            Decision, Outgoing, Quota, QuotaMember, QuotaNode, QuotaRules, RequestKey, Verdict,
+            Decision, Outgoing, Presence, Quota, QuotaMember, QuotaNode, QuotaRules, RequestKey,
+            Verdict,
             message::{Datagram, DelegationMessage, Message, Sender},
         },
     },
@@ -158,7 +159,7 @@
             },
             region: region.clone(),
             addr: addr(index),
-            is_live: true,
+            presence: Presence::Live,
         };
         let mut node = QuotaNode::new(self.rules, own, self.now_us + offset_us);
         node.set_quotas(self.quotas.iter().cloned());
@@ -346,6 +347,11 @@
                 self.daemons[index].reached_us[other] = now_us;
             }
             let since_us = now_us - self.daemons[index].reached_us[other];
+            let presence = if since_us < DETECTION_US {
+                Presence::Live
+            } else {
+                Presence::Lost
+            };
             members.push(QuotaMember {
                 sender: Sender {
                     name: format_smolstr!("vm-{other}"),
@@ -353,7 +359,7 @@
                 },
                 region: self.daemons[other].region.clone(),
                 addr: addr(other),
-                is_live: since_us < DETECTION_US,
+                presence,
             });
         }
         let daemon = &mut self.daemons[index];
