--- a/tests/mesh_frame.rs
+++ b/tests/mesh_frame.rs
@@ -30,13 +30,13 @@
 }
 
 /// Reads frames from a connection on which these bytes arrive.
-fn read(bytes: Vec<u8>, count: usize) -> Vec<Frame> {
+fn read(bytes: &[u8], count: usize) -> Vec<Frame> {
     runtime::block_on(async {
         let listener = conn::listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
         let sender = Conn::connect(listener.local_addr().unwrap()).await.unwrap();
         let (stream, _) = listener.accept().await.unwrap();
         let mut receiver = Conn::new(stream).unwrap();
-        sender.write_all(&bytes).await.unwrap();
+        sender.write_all(bytes).await.unwrap();
         let mut frames = Vec::new();
         for _ in 0..count {
             frames.push(frame::read(&mut receiver).await.unwrap());
@@ -68,8 +68,8 @@
 fn frames_of_earlier_builds_are_read() {
     for (build, _) in RECORDED {
         let frames = recorded(build);
-        let bytes = frames.iter().flat_map(|(_, bytes)| bytes.clone()).collect();
-        let read = read(bytes, frames.len());
+        let bytes: Vec<u8> = frames.iter().flat_map(|(_, bytes)| bytes.clone()).collect();
+        let read = read(&bytes, frames.len());
         for ((name, _), frame) in frames.iter().zip(read) {
             assert!(!frame.extensions.organisation_checked, "{name}");
             check(name, &frame);
@@ -141,7 +141,7 @@
     let mut bytes = Vec::new();
     frame::write(&mut bytes, &Message::Call(CallNumber(1), call()), &[b"x"]);
     frame::write(&mut bytes, &Message::Cancel(CallNumber(1)), &[]);
-    let frames = read(bytes, 2);
+    let frames = read(&bytes, 2);
     assert!(frames[0].extensions.organisation_checked);
     assert!(!frames[1].extensions.organisation_checked);
 }
@@ -162,7 +162,7 @@
     let unknown = [&2_u32.to_le_bytes()[..], &0_u32.to_le_bytes(), &[42, 7]].concat();
     bytes.extend(unknown);
     bytes.extend(&ping);
-    let frames = read(bytes, 2);
+    let frames = read(&bytes, 2);
     assert!(matches!(frames[0].message, Message::Ping(5)));
     assert!(matches!(frames[1].message, Message::Ping(5)));
 }
