Prefer the own region: no worker elsewhere is assumed to be faster, and probes and gossip stay near

Cause: a worker of another region without recent data was assumed to be as fast as the fastest here, and one that was never tried to take no time. With requests of 0.3 to 0.8 s that outweighed the penalty of 0.3 s.

A far worker now counts as fast as the best near one, unless the region is at twice the service's typical latency.

--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -18,14 +18,28 @@
 /// Maximum number of probes relayed for other members at one time; the oldest is dropped first.
 const MAX_RELAYED_PROBES: usize = 64;
 
-/// Number of draws of a gossip target within [`Scope::Deployment`] that the shares below refer to.
-const NEARBY_DRAWS: usize = 8;
+/// Number of draws of a gossip target in the own region that the share below refers to.
+const NEARBY_DRAWS: usize = 7;
 
-/// Draws that select a member of the own data centre.
+/// Draws that select a member of the own data centre; the others select any of the region.
 const NEARBY_DRAWS_IN_CENTRE: usize = 4;
 
-/// Draws that select a member of the own data centre or region; the others select any member.
-const NEARBY_DRAWS_IN_REGION: usize = 7;
+/// Datagrams of gossip and anti-entropy that the daemons of a region together send to other regions
+/// each second. What crosses the link between regions does not grow with the fleet.
+const FAR_ROUNDS_PER_S: f64 = 30.0;
+
+/// Probes that the daemons of a region together send to other regions each second. The daemons of
+/// the other region probe each other, and gossip what they find.
+const FAR_PROBES_PER_S: f64 = 10.0;
+
+/// Largest share of one daemon's gossip that goes to other regions.
+const MAX_FAR_SHARE: f64 = 1.0 / 16.0;
+
+/// Live members of the own region, besides this daemon, up to which probes go to all regions alike.
+const FEW_NEIGHBOURS: usize = 2;
+
+/// Denominator of shares that are drawn.
+const SHARE_UNITS: usize = 1 << 20;
 
 /// What a probe checks.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -179,6 +193,7 @@
                 return Some(key);
             }
         }
+        let far_share = self.far_probe_share();
         while self.probes.next < self.probes.order.len() {
             let key = self.probes.order[self.probes.next];
             if !self.is_probe_candidate(key) {
@@ -186,6 +201,9 @@
                 continue;
             }
             self.probes.next += 1;
+            if self.is_far(key) && !self.draw(far_share) {
+                continue;
+            }
             return Some(key);
         }
         self.shuffle_round();
@@ -374,21 +392,64 @@
     }
 
     /// Draws a live member, preferably of this data centre, less often of this region, and rarely
-    /// from anywhere.
+    /// of another region.
     fn random_peer_nearby(&mut self) -> Option<MemberKey> {
         let draw = self.random_below(NEARBY_DRAWS);
         let keys = self.random_live_peers(usize::MAX, None);
+        let neighbours = keys.iter().filter(|key| !self.is_far(**key)).count();
+        let rounds_per_s = self.rules.gossip_fanout as f64 * 1e6
+            / self.rules.gossip_interval_us as f64
+            + 1e6 / self.rules.sync_interval_us as f64;
+        let in_region = rounds_per_s * (neighbours + 1) as f64;
+        let goes_far = self.draw((FAR_ROUNDS_PER_S / in_region).min(MAX_FAR_SHARE));
         let own = &self.local.place;
-        let is_near = |key: &MemberKey| {
+        let is_chosen = |key: &MemberKey| {
             let place = &self.peers[*key].member.place;
-            if draw < NEARBY_DRAWS_IN_CENTRE {
+            if goes_far {
+                place.region != own.region
+            } else if draw < NEARBY_DRAWS_IN_CENTRE {
                 place.data_centre == own.data_centre
             } else {
-                draw < NEARBY_DRAWS_IN_REGION && place.region == own.region
+                place.region == own.region
             }
         };
-        let near = keys.iter().copied().find(is_near);
-        near.or_else(|| keys.first().copied())
+        let chosen = keys.iter().copied().find(is_chosen);
+        chosen.or_else(|| keys.first().copied())
+    }
+
+    /// Share of the due probes of members in other regions that are sent.
+    fn far_probe_share(&self) -> f64 {
+        if self.rules.scope == Scope::DataCentre {
+            return 1.0;
+        }
+        let live = self.peers.iter();
+        let live = live.filter(|(_, peer)| peer.member.status.is_live());
+        let (mut near, mut far) = (0, 0);
+        for (key, _) in live {
+            *(if self.is_far(key) {
+                &mut far
+            } else {
+                &mut near
+            }) += 1;
+        }
+        if near <= FEW_NEIGHBOURS || far == 0 {
+            return 1.0;
+        }
+        // With a share `s`, a round of `near + s * far` probes has `s * far` of members far away.
+        let per_s = 1e6 / self.rules.probe_interval_us as f64;
+        let own_far_per_s = (FAR_PROBES_PER_S / (near + 1) as f64).min(per_s / 2.0);
+        let share = own_far_per_s * near as f64 / (far as f64 * (per_s - own_far_per_s));
+        share.min(1.0)
+    }
+
+    /// Returns whether a member is in another region.
+    fn is_far(&self, key: MemberKey) -> bool {
+        self.peers[key].member.place.region != self.local.place.region
+    }
+
+    /// Returns true with a probability.
+    fn draw(&mut self, share: f64) -> bool {
+        self.random_below(SHARE_UNITS) < (share * SHARE_UNITS as f64) as usize
     }
 
     /// Draws up to `count` distinct random live members, leaving out `except`.
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -2,9 +2,13 @@
 //!
 //! The choice minimises the expected time to an answer. The estimate uses the queue length and
 //! latency from the gates' replies, the calls sent since the last reply, the share of failures, and
-//! a penalty for leaving the data centre. It handles four load patterns: workers of unequal speed,
-//! a cold worker, a worker that fails part of its requests, and a data centre whose own workers are
-//! full.
+//! a penalty for leaving the data centre. It handles five load patterns: workers of unequal speed,
+//! a cold worker, a worker that fails part of its requests, a data centre whose own workers are
+//! full, and a fleet with many workers of which most are far away.
+//!
+//! A worker of another region is not expected to be faster than those of the own region. Otherwise
+//! each daemon would try each worker of the deployment, and again whenever it has no recent data of
+//! it, at the price of the link between regions.
 
 use {
     crate::{
@@ -71,9 +75,20 @@
 /// Time during which a worker is penalised after its daemon could not be reached.
 const UNREACHABLE_PENALTY_PERIOD_US: u64 = 1_000_000;
 
-/// Candidates compared for one choice; larger services are sampled.
+/// Candidates of the own region compared for one choice; larger services are sampled.
 const MAX_CANDIDATES: usize = 12;
 
+/// Candidates of other regions compared for one choice.
+const MAX_FAR_CANDIDATES: usize = 4;
+
+/// Weight of one answer in the typical latency of a service, which averages about the last two
+/// hundred answers.
+const TYPICAL_WEIGHT: f64 = 0.005;
+
+/// Multiple of the typical latency from which the own region counts as slow, so that workers of
+/// other regions are tried.
+const SLOW_REGION_FACTOR: f64 = 2.0;
+
 /// Age from which a gate's reported load is disregarded, in addition to twice its latency.
 const REPORT_STALE_US: f64 = 200_000.0;
 
@@ -145,10 +160,61 @@
     region: Region,
     members: SlotMap<WorkerKey, KnownWorker>,
     by_vm: HashMap<SmolStr, WorkerKey>,
-    by_service: HashMap<ServiceName, Vec<WorkerKey>>,
+    by_service: HashMap<ServiceName, ServiceWorkers>,
     rng: ChaCha8Rng,
 }
 
+/// Workers of one service that accept requests.
+#[derive(Debug, Default)]
+struct ServiceWorkers {
+    /// Workers of the own region.
+    near: Vec<WorkerKey>,
+    /// Workers of other regions.
+    far: Vec<WorkerKey>,
+    /// Latency over a long time; zero before the first answer.
+    typical_us: f64,
+}
+
+impl ServiceWorkers {
+    fn remove(&mut self, key: WorkerKey) {
+        self.near.retain(|listed| *listed != key);
+        self.far.retain(|listed| *listed != key);
+    }
+
+    fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    fn all(&self) -> impl Iterator<Item = &WorkerKey> {
+        self.near.iter().chain(&self.far)
+    }
+
+    fn record_latency(&mut self, took_us: f64) {
+        if self.typical_us == 0.0 {
+            self.typical_us = took_us;
+        }
+        self.typical_us += (took_us - self.typical_us) * TYPICAL_WEIGHT;
+    }
+
+    /// Latency to expect of a worker in another region, if the best one here has this latency.
+    fn far_latency_us(&self, near_us: f64) -> f64 {
+        if self.typical_us > 0.0 {
+            near_us.min(self.typical_us * SLOW_REGION_FACTOR)
+        } else {
+            near_us
+        }
+    }
+}
+
+/// Latencies assumed of workers without recent data.
+#[derive(Debug, Clone, Copy)]
+struct Assumed {
+    /// Of a worker whose data is old.
+    outdated_us: f64,
+    /// Of a worker that was never tried.
+    untried_us: f64,
+}
+
 impl Directory {
     /// Creates the empty directory of a daemon in this data centre and region.
     pub fn new(data_centre: DataCentre, region: Region, seed: u64) -> Self {
@@ -179,7 +245,12 @@
             key
         };
         if let Some(service) = service {
-            self.by_service.entry(service).or_default().push(key);
+            let workers = self.by_service.entry(service).or_default();
+            if member.place.region == self.region {
+                workers.near.push(key);
+            } else {
+                workers.far.push(key);
+            }
         }
     }
 
@@ -192,8 +263,8 @@
     }
 
     fn remove_from_services(&mut self, key: WorkerKey) {
-        for keys in self.by_service.values_mut() {
-            keys.retain(|listed| *listed != key);
+        for workers in self.by_service.values_mut() {
+            workers.remove(key);
         }
     }
 
@@ -205,37 +276,41 @@
         reach: Reach,
         now_us: u64,
     ) -> Option<Choice> {
-        let keys = self.by_service.get(service)?;
-        let first = match keys.len() {
-            0 => return None,
-            count if count > MAX_CANDIDATES => self.rng.random_range(0..count),
-            _ => 0,
+        let workers = self.by_service.get(service)?;
+        let members = &self.members;
+        let rng = &mut self.rng;
+        let is_usable = |key: &WorkerKey| members[*key].is_usable(tried);
+        let near: Candidates = sample(&workers.near, MAX_CANDIDATES, rng)
+            .filter(is_usable)
+            .collect();
+        let is_far_excluded = reach == Reach::Region;
+        let max_far = if is_far_excluded {
+            0
+        } else {
+            MAX_FAR_CANDIDATES
         };
-        let candidates: SmallVec<[WorkerKey; MAX_CANDIDATES]> = keys
-            .iter()
-            .cycle()
-            .skip(first)
-            .take(keys.len().min(MAX_CANDIDATES))
-            .copied()
-            .filter(|key| {
-                let member = &self.members[*key];
-                let is_out_of_reach =
-                    reach == Reach::Region && member.member.place.region != self.region;
-                !is_out_of_reach && member.is_usable(tried)
-            })
+        let far: Candidates = sample(&workers.far, max_far, rng)
+            .filter(is_usable)
             .collect();
-        let baseline_us = self.lowest_latency_us(&candidates);
-        let mut best: Option<(f64, WorkerKey)> = None;
-        for key in candidates {
-            let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
-            let member = &self.members[key];
-            let cost_us = member.expected_cost_us(baseline_us, now_us) * noise
-                + self.distance_penalty_us(member);
-            if best.is_none_or(|(best_us, _)| cost_us < best_us) {
-                best = Some((cost_us, key));
-            }
-        }
-        let (_, key) = best?;
+        let lowest_us = self.lowest_latency_us(if near.is_empty() { &far } else { &near });
+        let near_assumed = Assumed {
+            outdated_us: lowest_us,
+            untried_us: 0.0,
+        };
+        let best_near = self.best(&near, near_assumed, now_us);
+        let far_us = best_near.map_or(lowest_us, |(_, key)| {
+            let near_us = self.members[key].latency_us(near_assumed, now_us);
+            self.by_service[service].far_latency_us(near_us)
+        });
+        let far_assumed = Assumed {
+            outdated_us: far_us,
+            untried_us: far_us,
+        };
+        let best_far = self.best(&far, far_assumed, now_us);
+        let is_lower = |(cost_us, _): &(f64, WorkerKey)| {
+            best_near.is_none_or(|(near_us, _)| *cost_us < near_us)
+        };
+        let (_, key) = best_far.filter(is_lower).or(best_near)?;
         let member = &self.members[key];
         let worker = member.member.worker.as_ref()?;
         Some(Choice {
@@ -246,6 +321,26 @@
         })
     }
 
+    /// Worker with the lowest expected cost, and that cost.
+    fn best(
+        &mut self,
+        candidates: &[WorkerKey],
+        assumed: Assumed,
+        now_us: u64,
+    ) -> Option<(f64, WorkerKey)> {
+        let mut best: Option<(f64, WorkerKey)> = None;
+        for key in candidates {
+            let noise = 1.0 + self.rng.random_range(-NOISE..NOISE);
+            let member = &self.members[*key];
+            let cost_us =
+                member.expected_cost_us(assumed, now_us) * noise + self.distance_penalty_us(member);
+            if best.is_none_or(|(best_us, _)| cost_us < best_us) {
+                best = Some((cost_us, *key));
+            }
+        }
+        best
+    }
+
     /// Lowest known latency among these workers, used for workers without recent data.
     fn lowest_latency_us(&self, keys: &[WorkerKey]) -> f64 {
         let latencies = keys.iter().map(|key| self.members[*key].known_latency_us());
@@ -273,9 +368,11 @@
     /// over the sum of the limits, less the share that workers fail. Counts the workers of this region, or all workers if there are
     /// none.
     pub fn load_permille(&self, service: &str, now_us: u64) -> u32 {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let Some(workers) = self.by_service.get(service) else {
+            return 0;
+        };
         let usable = || {
-            let members = keys.iter().map(|key| &self.members[*key]);
+            let members = workers.all().map(|key| &self.members[*key]);
             members.filter(|member| member.is_usable(&[]) && now_us >= member.unreachable_until_us)
         };
         let load = |is_near: &dyn Fn(&KnownWorker) -> bool| {
@@ -315,8 +412,14 @@
         load: Option<GateLoad>,
         now_us: u64,
     ) {
-        if let Some(member) = self.members.get_mut(key) {
-            member.record_outcome(outcome, load, now_us);
+        let Some(member) = self.members.get_mut(key) else {
+            return;
+        };
+        member.record_outcome(outcome, load, now_us);
+        let service = member.member.worker.as_ref().map(|worker| &worker.service);
+        let workers = service.and_then(|service| self.by_service.get_mut(service));
+        if let (SendOutcome::Answered { took_us }, Some(workers)) = (outcome, workers) {
+            workers.record_latency(took_us as f64);
         }
     }
 
@@ -329,7 +432,7 @@
 
     /// Number of workers that accept requests for a service.
     pub fn workers(&self, service: &str) -> usize {
-        self.by_service.get(service).map_or(0, Vec::len)
+        self.by_service.get(service).map_or(0, ServiceWorkers::len)
     }
 
     /// Number of VMs.
@@ -427,15 +530,15 @@
         self.latency_us.max(f64::from(self.load.latency_us))
     }
 
-    /// Expected latency. Without outstanding sends it decays to the baseline, so that a worker that
-    /// was slow is tried again, with one call at a time. A worker that was never tried is tried
-    /// first.
-    fn latency_us(&self, baseline_us: f64, now_us: u64) -> f64 {
+    /// Expected latency. Without outstanding sends it approaches the assumed one, so that a worker
+    /// that was slow is tried again, with one call at a time.
+    fn latency_us(&self, assumed: Assumed, now_us: u64) -> f64 {
+        let baseline_us = assumed.outdated_us;
         let known_us = self.known_latency_us();
         match (known_us > 0.0, self.outstanding > 0) {
             (true, true) => return known_us,
             (false, true) => return baseline_us,
-            (false, false) => return 0.0,
+            (false, false) => return assumed.untried_us,
             (true, false) => {}
         }
         let age_us = now_us.saturating_sub(self.latency_at_us) as f64;
@@ -443,9 +546,9 @@
     }
 
     /// Expected time to an answer from this worker, in microseconds, including penalties.
-    fn expected_cost_us(&self, baseline_us: f64, now_us: u64) -> f64 {
+    fn expected_cost_us(&self, assumed: Assumed, now_us: u64) -> f64 {
         let limit = self.limit();
-        let latency_us = self.latency_us(baseline_us, now_us);
+        let latency_us = self.latency_us(assumed, now_us);
         let estimated_requests = self.estimated_requests(now_us);
         let waiting = (estimated_requests + 1.0 - limit).max(0.0);
         let utilisation = (estimated_requests / limit).min(1.0);
@@ -495,6 +598,24 @@
     }
 }
 
+/// Workers compared for one choice.
+type Candidates = SmallVec<[WorkerKey; MAX_CANDIDATES]>;
+
+/// Up to `count` successive keys from a random position, or all if there are no more.
+fn sample<'a>(
+    keys: &'a [WorkerKey],
+    count: usize,
+    rng: &mut ChaCha8Rng,
+) -> impl Iterator<Item = WorkerKey> + use<'a> {
+    let first = if keys.len() > count {
+        rng.random_range(0..keys.len())
+    } else {
+        0
+    };
+    let count = count.min(keys.len());
+    keys.iter().cycle().skip(first).take(count).copied()
+}
+
 /// Share of failures after the time since it was observed.
 fn decayed(share: f64, observed_us: u64, now_us: u64) -> f64 {
     let age_us = now_us.saturating_sub(observed_us) as f64;
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -292,3 +292,71 @@
             .is_some()
     );
 }
+
+/// Load pattern: requests take several hundred milliseconds, and each daemon sends few of them. No
+/// worker of another region has been tried, or its data is old.
+#[test]
+fn slow_work_is_no_reason_to_leave_the_region() {
+    let mut directory = directory(&[("a", "r"), ("b", "r"), ("c", "q"), ("d", "q")]);
+    let mut open = Vec::new();
+    for number in 0..400 {
+        let now_us = SECOND_US + number * 100_000;
+        let choice = directory.choose("s", &[], Reach::Anywhere, now_us).unwrap();
+        assert!(
+            choice.vm == "vm-1" || choice.vm == "vm-2",
+            "request {number}"
+        );
+        directory.record_send(choice.key);
+        open.push(choice);
+        if open.len() > 6 {
+            let took_us = [500_000, 1_300_000][usize::from(open[0].vm == "vm-2")];
+            let outcome = SendOutcome::Answered { took_us };
+            let key = open.remove(0).key;
+            directory.record_outcome(key, outcome, Some(load(3, 0, took_us as u32)), now_us);
+        }
+    }
+}
+
+/// Load pattern: a fleet with far more workers in other regions than are compared for one choice.
+#[test]
+fn a_worker_of_the_region_is_found_among_many_far_ones() {
+    let mut places = vec![("c", "q"); 200];
+    places[137] = ("a", "r");
+    let mut directory = directory(&places);
+    for number in 0..100 {
+        let now_us = SECOND_US + number * 1_000;
+        let choice = directory.choose("s", &[], Reach::Anywhere, now_us).unwrap();
+        assert_eq!(choice.vm, "vm-138");
+    }
+}
+
+/// Load pattern: all workers of the region become many times slower than usual.
+#[test]
+fn requests_leave_a_region_whose_workers_are_all_slow() {
+    let mut directory = directory(&[("a", "r"), ("b", "r"), ("c", "q")]);
+    let serve = |slow_from: u64| {
+        move |number: u64, vm: &str| match vm {
+            "vm-3" => 200_000,
+            _ if number >= slow_from => 4_000_000,
+            _ => 200_000,
+        }
+    };
+    let took_us = serve(500);
+    let mut far = 0;
+    for number in 0..700 {
+        let now_us = SECOND_US + number * 20_000;
+        let choice = directory.choose("s", &[], Reach::Anywhere, now_us).unwrap();
+        directory.record_send(choice.key);
+        let took_us = took_us(number, &choice.vm);
+        let outcome = SendOutcome::Answered { took_us };
+        directory.record_outcome(
+            choice.key,
+            outcome,
+            Some(load(2, 0, took_us as u32)),
+            now_us,
+        );
+        far += u32::from(choice.vm == "vm-3" && number >= 600);
+        assert!(choice.vm != "vm-3" || number >= 500, "request {number}");
+    }
+    assert!(far > 50, "{far} of the last 100 requests left the region");
+}
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -48,6 +48,8 @@
     pub sent_messages: u64,
     /// Bytes sent to other data centres.
     pub cross_centre_bytes: u64,
+    /// Bytes sent to other regions.
+    pub cross_region_bytes: u64,
     /// Processor time spent in the fleet view and its codec.
     pub cpu: Duration,
     pub events: Vec<(u64, Event)>,
@@ -136,6 +138,7 @@
             received_bytes: 0,
             sent_messages: 0,
             cross_centre_bytes: 0,
+            cross_region_bytes: 0,
             cpu: Duration::ZERO,
             events: Vec::new(),
         });
@@ -297,6 +300,10 @@
         if !is_same_centre {
             self.nodes[from].cross_centre_bytes += bytes.len() as u64 + HEADER_BYTES;
         }
+        let region = |index: usize| &self.nodes[index].fleet.local_member().place.region;
+        if region(from) != region(to) {
+            self.nodes[from].cross_region_bytes += bytes.len() as u64 + HEADER_BYTES;
+        }
         let is_lost = self.rng.next_u64() % 100 < self.loss_percent;
         if is_lost || self.nodes[from].group != self.nodes[to].group {
             return;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -181,6 +181,38 @@
     );
 }
 
+/// Bound on what the membership sends between two regions, a twentieth of the 30 Mbit/s of the link.
+const REGION_BYTES_PER_S: f64 = 30e6 / 8.0 / 20.0;
+
+/// Load pattern: a calm fleet, and one in which ten workers a second change.
+#[test]
+fn what_crosses_regions_does_not_grow_with_the_fleet() {
+    for members in [30, 300] {
+        let mut net = deployment(12, members);
+        net.run(20 * SECOND_US);
+        for changes_per_s in [0, 10] {
+            net.nodes
+                .iter_mut()
+                .for_each(|node| node.cross_region_bytes = 0);
+            for step in 0..100 {
+                if changes_per_s > 0 {
+                    let node = &mut net.nodes[step * 7 % members];
+                    let incarnation = node.fleet.local_member().generation.0 + step as u64;
+                    let worker = advertised_worker(incarnation, "orders");
+                    node.fleet.set_worker(Some(worker));
+                }
+                net.run(SECOND_US / 10);
+            }
+            let bytes: u64 = net.nodes.iter().map(|node| node.cross_region_bytes).sum();
+            let each_way_per_s = bytes as f64 / 2.0 / 10.0;
+            assert!(
+                each_way_per_s < REGION_BYTES_PER_S,
+                "{members} members, {changes_per_s} changes a second: {each_way_per_s} bytes a second"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_release_of_half_of_the_workers_stays_within_the_bound() {
     let mut net = deployment(8, 100);
