Give updates between regions a byte budget that does not grow with the fleet

Cause: at 300 machines the link between regions was full of pings and acks: each carries up to 1,250 bytes of updates, those of high priority regardless of the daemon's budget, and acks that were late for that made suspects, which every daemon probed again.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -92,6 +92,9 @@
     pub load_interval_us: u64,
     /// Budget for outgoing datagrams; updates below high priority wait while it is exhausted.
     pub budget_bytes_per_s: u64,
+    /// Budget of all daemons of a region for updates to other regions, within
+    /// [`Scope::Deployment`]. Probes and acks are sent without updates while it is exhausted.
+    pub far_budget_bytes_per_s: u64,
     /// Interval at which summaries are checked for changes to publish to other data centres.
     pub publish_interval_us: u64,
 }
@@ -111,6 +114,7 @@
             tombstone_us: 6 * 3_600_000_000,
             load_interval_us: 1_000_000,
             budget_bytes_per_s: 6_000,
+            far_budget_bytes_per_s: 100_000,
             publish_interval_us: 1_000_000,
         }
     }
--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -396,11 +396,10 @@
     fn random_peer_nearby(&mut self) -> Option<MemberKey> {
         let draw = self.random_below(NEARBY_DRAWS);
         let keys = self.random_live_peers(usize::MAX, None);
-        let neighbours = keys.iter().filter(|key| !self.is_far(**key)).count();
         let rounds_per_s = self.rules.gossip_fanout as f64 * 1e6
             / self.rules.gossip_interval_us as f64
             + 1e6 / self.rules.sync_interval_us as f64;
-        let in_region = rounds_per_s * (neighbours + 1) as f64;
+        let in_region = rounds_per_s * (self.neighbours() + 1) as f64;
         let goes_far = self.draw((FAR_ROUNDS_PER_S / in_region).min(MAX_FAR_SHARE));
         let own = &self.local.place;
         let is_chosen = |key: &MemberKey| {
@@ -422,16 +421,8 @@
         if self.rules.scope == Scope::DataCentre {
             return 1.0;
         }
-        let live = self.peers.iter();
-        let live = live.filter(|(_, peer)| peer.member.status.is_live());
-        let (mut near, mut far) = (0, 0);
-        for (key, _) in live {
-            *(if self.is_far(key) {
-                &mut far
-            } else {
-                &mut near
-            }) += 1;
-        }
+        let near = self.neighbours();
+        let far = self.live_peers - near;
         if near <= FEW_NEIGHBOURS || far == 0 {
             return 1.0;
         }
@@ -442,13 +433,22 @@
         share.min(1.0)
     }
 
-    /// Returns whether a member is in another region.
-    fn is_far(&self, key: MemberKey) -> bool {
-        self.peers[key].member.place.region != self.local.place.region
+    /// Number of live members of the own region, without this daemon.
+    pub(super) fn neighbours(&self) -> usize {
+        let live = self.peers.values();
+        let live = live.filter(|peer| peer.member.status.is_live());
+        live.filter(|peer| peer.member.place.region == self.local.place.region)
+            .count()
+    }
+
+    /// Returns whether a member is in another region, within [`Scope::Deployment`].
+    pub(super) fn is_far(&self, key: MemberKey) -> bool {
+        self.rules.scope == Scope::Deployment
+            && self.peers[key].member.place.region != self.local.place.region
     }
 
     /// Returns true with a probability.
-    fn draw(&mut self, share: f64) -> bool {
+    pub(super) fn draw(&mut self, share: f64) -> bool {
         self.random_below(SHARE_UNITS) < (share * SHARE_UNITS as f64) as usize
     }
 
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -63,6 +63,11 @@
                 bytes += STATE_BYTES;
             }
         }
+        let is_far = to.is_some_and(|key| self.is_far(key));
+        if is_far && !self.timers.has_far_budget() {
+            return;
+        }
+        let bytes_before = bytes;
         let is_over_budget = !self.timers.has_budget();
         for (update_key, priority) in self.updates.in_order() {
             if is_over_budget && priority < Priority::High {
@@ -79,6 +84,9 @@
                 break;
             }
         }
+        if is_far {
+            self.timers.charge_far(bytes - bytes_before);
+        }
     }
 
     /// Adds one record to a datagram if it fits; returns its estimated size, or `None` if it does
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -23,6 +23,12 @@
 /// Number of live members up to which loads are announced at the shortest interval.
 const LOAD_MEMBERS: u64 = 50;
 
+/// Daemons of a region that probe a suspect of another region once more.
+const FAR_REPROBES: f64 = 8.0;
+
+/// Bytes for other regions that accumulate at one daemon, at least one datagram.
+const FAR_BUDGET_BYTES: f64 = 1_400.0;
+
 /// Due times of the periodic tasks, and the byte budget.
 #[derive(Debug, Default)]
 pub(super) struct Timers {
@@ -40,6 +46,8 @@
     seeds_tried: usize,
     /// Bytes that may still be sent; negative after urgent messages have overdrawn the budget.
     budget_bytes: i64,
+    /// Bytes of updates that may still be sent to other regions.
+    far_budget_bytes: f64,
 }
 
 impl Timers {
@@ -69,6 +77,22 @@
         self.budget_bytes > 0
     }
 
+    /// Charges updates sent to another region.
+    pub(super) fn charge_far(&mut self, sent_bytes: usize) {
+        self.far_budget_bytes -= sent_bytes as f64;
+    }
+
+    /// Returns whether updates may be sent to other regions.
+    pub(super) fn has_far_budget(&self) -> bool {
+        self.far_budget_bytes > 0.0
+    }
+
+    fn refill_far(&mut self, elapsed_us: u64, bytes_per_s: f64) {
+        let added = bytes_per_s * elapsed_us as f64 / 1e6;
+        let max = FAR_BUDGET_BYTES.max(bytes_per_s);
+        self.far_budget_bytes = (self.far_budget_bytes + added).min(max);
+    }
+
     fn refill(&mut self, elapsed_us: u64, bytes_per_s: u64) {
         let max = (bytes_per_s * BUDGET_WINDOW_S).cast_signed();
         let added = elapsed_us.min(BUDGET_WINDOW_S * 1_000_000) * bytes_per_s / 1_000_000;
@@ -160,10 +184,14 @@
         self.timers.last_tick_us = now_us;
         if last_us == 0 {
             self.timers.budget_bytes = self.rules.budget_bytes_per_s.cast_signed();
+            self.timers.far_budget_bytes = FAR_BUDGET_BYTES;
             return;
         }
         let gap_us = now_us.saturating_sub(last_us);
         self.timers.refill(gap_us, self.rules.budget_bytes_per_s);
+        let far_bytes_per_s = self.rules.far_budget_bytes_per_s as f64;
+        let in_region = (self.neighbours() + 1) as f64;
+        self.timers.refill_far(gap_us, far_bytes_per_s / in_region);
         if gap_us < MIN_PAUSE_US {
             return;
         }
@@ -204,6 +232,7 @@
     fn expire(&mut self, now_us: u64) {
         let mut dead = Vec::new();
         let mut expired = Vec::new();
+        let mut doubtful = Vec::new();
         for (key, peer) in &mut self.peers {
             let age_us = now_us.saturating_sub(peer.changed_us);
             match peer.member.status {
@@ -213,11 +242,17 @@
                 }
                 Status::Suspect if age_us >= self.rules.suspicion_us / 2 && !peer.reprobed => {
                     peer.reprobed = true;
-                    self.probes.prioritize(key);
+                    doubtful.push(key);
                 }
                 _ => (),
             }
         }
+        let far_share = FAR_REPROBES / (self.neighbours() + 1) as f64;
+        for key in doubtful {
+            if !self.is_far(key) || self.draw(far_share) {
+                self.probes.prioritize(key);
+            }
+        }
         for key in dead {
             self.set_status(key, Status::Dead, now_us);
         }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -190,13 +190,13 @@
     for members in [30, 300] {
         let mut net = deployment(12, members);
         net.run(20 * SECOND_US);
-        for changes_per_s in [0, 10] {
+        for changes_per_s in [0, 10, 100] {
             net.nodes
                 .iter_mut()
                 .for_each(|node| node.cross_region_bytes = 0);
             for step in 0..100 {
-                if changes_per_s > 0 {
-                    let node = &mut net.nodes[step * 7 % members];
+                for change in 0..changes_per_s / 10 {
+                    let node = &mut net.nodes[(step * 7 + change * 13) % members];
                     let incarnation = node.fleet.local_member().generation.0 + step as u64;
                     let worker = advertised_worker(incarnation, "orders");
                     node.fleet.set_worker(Some(worker));
@@ -213,6 +213,23 @@
     }
 }
 
+/// Load pattern: all daemons start at the same moment, and each has all records to pass on.
+#[test]
+fn a_start_of_all_daemons_stays_within_the_budget_between_regions() {
+    for members in [30, 300] {
+        let (mut net, took_us) = forming_deployment(12, members);
+        let started_us = net.now_us - took_us.expect("the fleet forms");
+        net.run(10 * SECOND_US);
+        let bytes: u64 = net.nodes.iter().map(|node| node.cross_region_bytes).sum();
+        let elapsed_s = (net.now_us - started_us) as f64 / 1e6;
+        let each_way_per_s = bytes as f64 / 2.0 / elapsed_s;
+        assert!(
+            each_way_per_s < REGION_BYTES_PER_S,
+            "{members} members: {each_way_per_s} bytes a second"
+        );
+    }
+}
+
 #[test]
 fn a_release_of_half_of_the_workers_stays_within_the_bound() {
     let mut net = deployment(8, 100);
