Limit the memory that is allocated for a body, not only its length

Cause: a body that grows doubles its allocation, so that the bodies of endless answers could take twice what is counted, and more while one is moved. A quarter of the length is now allocated in advance, and counted.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -16,6 +16,9 @@
 /// Longest line with the size of a chunk, including extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 4_096;
 
+/// Part of a growing body that is allocated in advance, as a divisor of its length.
+const SPARE_DIVISOR: usize = 4;
+
 /// End of the data of a chunk.
 const CHUNK_END: &[u8] = b"\r\n";
 
@@ -396,10 +399,7 @@
 ) -> Result<(), MessageError> {
     loop {
         let piece = conn.buffered().len().min(count);
-        if !limit.grow((body.len() + piece) as u64) {
-            return Err(MessageError::BodyTooLarge);
-        }
-        body.extend_from_slice(&conn.buffered()[..piece]);
+        append(body, &conn.buffered()[..piece], limit)?;
         conn.consume(piece);
         count -= piece;
         if count == 0 {
@@ -409,14 +409,33 @@
     }
 }
 
+/// Appends bytes to a body whose allocated memory is limited, not only its length.
+fn append(
+    body: &mut Vec<u8>,
+    bytes: &[u8],
+    limit: &mut impl BodyLimit,
+) -> Result<(), MessageError> {
+    let length = body.len() + bytes.len();
+    if length > body.capacity() || body.is_empty() {
+        let spare = length / SPARE_DIVISOR;
+        let capacity = if limit.grow((length + spare) as u64) {
+            length + spare
+        } else if limit.grow(length as u64) {
+            length
+        } else {
+            return Err(MessageError::BodyTooLarge);
+        };
+        body.reserve_exact(capacity - body.len());
+    }
+    body.extend_from_slice(bytes);
+    Ok(())
+}
+
 async fn read_rest(conn: &mut Conn, limit: &mut impl BodyLimit) -> Result<Vec<u8>, MessageError> {
     let mut body = Vec::new();
     loop {
         let count = conn.buffered().len();
-        if !limit.grow((body.len() + count) as u64) {
-            return Err(MessageError::BodyTooLarge);
-        }
-        body.extend_from_slice(conn.buffered());
+        append(&mut body, conn.buffered(), limit)?;
         conn.consume(count);
         match conn.fill().await {
             Ok(0) => return Ok(body),
