--- a/src/policy/quota/allocator.rs
+++ b/src/policy/quota/allocator.rs
@@ -36,9 +36,8 @@
 /// requests that waited for it come at once.
 const YOUNG_US: u64 = 1_000_000;
 
-/// Time for which a request waits at a young allocator, whatever its importance: less than a client
-/// that is refused takes to come back.
-const YOUNG_DELAY_US: u64 = 1_000_000;
+/// Factor on the time for which requests wait at a young allocator.
+const YOUNG_DELAY_FACTOR: u64 = 4;
 
 /// Bounds of the advice when a request without a token may come back.
 const RETRY_AFTER_MIN_MS: f64 = 100.0;
@@ -237,9 +236,9 @@
             return;
         };
         let is_young = now_us.saturating_sub(shared_since_us) < YOUNG_US;
-        let min_delay_us = if is_young { YOUNG_DELAY_US } else { 0 };
+        let delay_factor = if is_young { YOUNG_DELAY_FACTOR } else { 1 };
         let ask = &Ask {
-            max_delay_us: ask.max_delay_us.max(min_delay_us),
+            max_delay_us: ask.max_delay_us * delay_factor,
             ..*ask
         };
         account.record_demand(ask.needed + ask.extra, now_us);
