--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -21,6 +21,7 @@
 pub mod gossip;
 pub mod http;
 pub mod ingress;
+pub mod known_worker;
 pub mod lag;
 pub mod latency;
 pub mod link;
@@ -36,6 +37,7 @@
 mod sends;
 pub mod settings;
 pub mod startup;
+pub mod work;
 
 use {
     crate::{
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -7,9 +7,9 @@
             Mesh,
             conn::{self, Conn},
             frame::{self, Call, CallNumber, Extensions, Frame, Message},
-            gate,
             link::Outbox,
             runtime::spawn,
+            work,
         },
     },
     async_executor::Task,
@@ -111,9 +111,9 @@
     let own_calls = Rc::clone(calls);
     let task = spawn(async move {
         let (reply, payload) = if extensions.organisation_checked {
-            gate::serve(&mesh, &call, &payload).await
+            work::serve(&mesh, &call, &payload).await
         } else {
-            gate::serve_unchecked(&mesh, call, payload).await
+            work::serve_unchecked(&mesh, call, payload).await
         };
         outbox.push(&Message::Reply(number, reply), &[&payload]);
         let finished = own_calls.borrow_mut().remove(&number);
--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -5,12 +5,13 @@
         fleet::Reachability,
         mesh::{
             Mesh,
-            directory::{Choice, Reach, SendOutcome},
+            directory::{Choice, Reach},
             forward::{Answer, Inbound, RoutedRequest},
             frame::{Call, CallResult, GateLoad, Reply, ServiceLoad},
-            gate,
+            known_worker::SendOutcome,
             link::{Link, LinkResult},
             runtime::{now_us, sleep_until},
+            work,
         },
         policy::{admission::BottleneckLoad, retry_budget::RetryBudget},
         request::{Incarnation, Outcome, Reason, Refusal, ServiceName},
@@ -263,7 +264,7 @@
 
     async fn deliver(self: &Rc<Self>, choice: &Choice, call: Call, parts: &[&[u8]]) -> LinkResult {
         if choice.addr == self.settings.calls_addr {
-            return Ok(gate::serve(self, &call, &parts.concat()).await);
+            return Ok(work::serve(self, &call, &parts.concat()).await);
         }
         let link = self.link(choice.addr);
         Link::call(&link, self, call, parts).await?.reply().await
