--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -9,8 +9,9 @@
         config::Revision,
         fleet::member::{AdvertisedWorker, Generation, Member, Status},
         mesh::{
-            directory::{Choice, Directory, Reach, SendOutcome},
+            directory::{Choice, Directory, Reach},
             frame::GateLoad,
+            known_worker::SendOutcome,
         },
         place::{DataCentre, Place, Region},
         policy::failures::FailureShare,
