--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -216,18 +216,15 @@
         let near_assumed = Assumed {
             outdated_us: lowest_us,
             untried_us: 0.0,
-            unanswered_us: lowest_us,
         };
         let best_near = self.best(&near, near_assumed, now_us);
         let near_us = best_near.map_or(lowest_us, |(_, key)| {
             self.members[key].latency_us(near_assumed, now_us)
         });
         let far_us = self.by_service[service].far_latency_us(near_us);
-        // While the region is slow, each far worker is tried by one request.
         let far_assumed = Assumed {
             outdated_us: far_us,
             untried_us: far_us,
-            unanswered_us: near_us,
         };
         let best_far = self.best(&far, far_assumed, now_us);
         let is_lower = |(cost_us, _): &(f64, WorkerKey)| {
--- a/src/mesh/known_worker.rs
+++ b/src/mesh/known_worker.rs
@@ -70,8 +70,6 @@
     pub(super) outdated_us: f64,
     /// Of a worker that was never tried.
     pub(super) untried_us: f64,
-    /// Of a worker that has not answered its first requests yet.
-    pub(super) unanswered_us: f64,
 }
 
 /// Worker of one VM, with the load, latency and failures observed by this daemon.
@@ -183,7 +181,7 @@
         let known_us = self.known_latency_us();
         match (known_us > 0.0, self.outstanding > 0) {
             (true, true) => return known_us,
-            (false, true) => return assumed.unanswered_us,
+            (false, true) => return baseline_us,
             (false, false) => return assumed.untried_us,
             (true, false) => {}
         }
