--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -780,6 +780,11 @@
         }
     }
 
+    /// Process id of the daemon; zero if there is none.
+    pub fn pid(&self) -> u32 {
+        self.daemon.lock().unwrap().as_ref().map_or(0, Child::id)
+    }
+
     /// Whether the daemon has ended.
     pub fn has_ended(&self) -> bool {
         let mut daemon = self.daemon.lock().unwrap();
