--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -6,6 +6,7 @@
     fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -18,8 +19,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
+/// Option of `prctl`: signal that a process gets at the end of the thread that started it.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -760,6 +765,14 @@
                 command.arg(word);
             }
         }
+        // No daemon outlives the script, also if that ends early.
+        // SAFETY: the call is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = command
             .env("SHALLOTDEAL_SETTINGS", &settings)
             .stdin(Stdio::null())
@@ -827,6 +840,8 @@
         status: u16,
         body: Vec<u8>,
     },
+    /// Runs the request, and its answer is lost with the connection.
+    LoseAnswer,
     /// Crashes.
     Crash,
 }
@@ -909,7 +924,11 @@
                         worker.open.lock().unwrap().push(stream.try_clone().expect("stream"));
                         let worker = Arc::clone(&worker);
                         thread::spawn(move || {
+                            let closing = stream.try_clone();
                             let _ = worker.serve(stream, lifetime);
+                            if let Ok(stream) = closing {
+                                let _ = stream.shutdown(std::net::Shutdown::Both);
+                            }
                         });
                     }
                     Err(_) => sleep_ms(1),
@@ -999,6 +1018,10 @@
                 request.field("X-Shallotdeal-Caller-Service").unwrap_or("-"),
             ));
             match (self.script)(self, &request) {
+                Work::LoseAnswer => {
+                    self.record.line(&format!("lost     {id}: the answer of {} is lost", self.id()));
+                    return Ok(());
+                }
                 Work::Crash => {
                     self.crash();
                     return Ok(());
