--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     fs,
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     os::unix::process::CommandExt,
     path::PathBuf,
@@ -457,13 +457,6 @@
         self.changed.notify_all();
     }
 
-    /// Keys below a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
@@ -498,7 +491,8 @@
             .map(|(name, value)| (name, decode_query(value)))
             .collect();
         let argument = |name: &str| query.get(name).cloned().unwrap_or_default();
-        let body = Json::parse(std::str::from_utf8(&request.body).unwrap_or("")).unwrap_or(Json::Null);
+        let body =
+            Json::parse(std::str::from_utf8(&request.body).unwrap_or("")).unwrap_or(Json::Null);
         let mut state = self.state.lock().unwrap();
         state.expire();
         match path.strip_prefix("/shallotdeal/").unwrap_or("") {
@@ -561,12 +555,23 @@
                 }
             }
             "kv-txn" => {
-                let list = |name: &str| body.get(name).map(|v| v.list().to_vec()).unwrap_or_default();
-                let text = |row: &Json, name: &str| row.get(name).map(|v| v.text().to_string()).unwrap_or_default();
+                let list = |name: &str| {
+                    body.get(name)
+                        .map(|v| v.list().to_vec())
+                        .unwrap_or_default()
+                };
+                let text = |row: &Json, name: &str| {
+                    row.get(name)
+                        .map(|v| v.text().to_string())
+                        .unwrap_or_default()
+                };
                 let number = |row: &Json, name: &str| row.get(name).map(Json::number).unwrap_or(0);
                 let is_reserved = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
                 for row in list("ExpectedRev") {
-                    let found = state.items.get(&text(&row, "Key")).map_or(0, |item| item.revision);
+                    let found = state
+                        .items
+                        .get(&text(&row, "Key"))
+                        .map_or(0, |item| item.revision);
                     if found != number(&row, "Revision") {
                         return (412, "{\"items\":[]}".into());
                     }
@@ -581,7 +586,11 @@
                     }
                 }
                 for row in list("Puts") {
-                    state.put(&text(&row, "Key"), text(&row, "Value"), number(&row, "Lease"));
+                    state.put(
+                        &text(&row, "Key"),
+                        text(&row, "Value"),
+                        number(&row, "Lease"),
+                    );
                 }
                 for key in list("Remove") {
                     state.remove(key.text());
@@ -592,7 +601,11 @@
                 (200, format!("{{\"Revision\":{revision}}}"))
             }
             "kv-lease" => {
-                let ttl_ms = body.get("TtlMs").map(Json::number).unwrap_or(0).clamp(1_000, 600_000);
+                let ttl_ms = body
+                    .get("TtlMs")
+                    .map(Json::number)
+                    .unwrap_or(0)
+                    .clamp(1_000, 600_000);
                 state.next_lease += 1;
                 let lease = state.next_lease;
                 let until = Instant::now() + Duration::from_millis(ttl_ms);
@@ -600,7 +613,11 @@
                 (200, format!("{{\"Lease\":{lease},\"TtlMs\":{ttl_ms}}}"))
             }
             other => {
-                let id = other.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = other
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 if other.starts_with("kv-keep/") {
                     match state.leases.get_mut(&id) {
                         Some((ttl_ms, until)) => {
@@ -645,9 +662,17 @@
             seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let net = Self(1 + (seed >> 33) as u8 % 250, (seed >> 43) as u8);
             let is_free = (1..=20).all(|host| {
-                [PORT_APP, PORT_READY, PORT_OUTBOUND, PORT_CONTROL, PORT_STORE, PORT_INTERNAL, PORT_METRICS]
-                    .iter()
-                    .all(|port| TcpListener::bind(net.addr(host, *port)).is_ok())
+                [
+                    PORT_APP,
+                    PORT_READY,
+                    PORT_OUTBOUND,
+                    PORT_CONTROL,
+                    PORT_STORE,
+                    PORT_INTERNAL,
+                    PORT_METRICS,
+                ]
+                .iter()
+                .all(|port| TcpListener::bind(net.addr(host, *port)).is_ok())
             });
             if is_free {
                 return net;
@@ -724,7 +749,10 @@
             ("InternalPorts.0", PORT_INTERNAL.to_string()),
             ("AppAddr", self.addr(PORT_APP).to_string()),
             ("Service", self.service.into()),
-            ("Platform.Address", self.net.addr(20, PORT_STORE).to_string()),
+            (
+                "Platform.Address",
+                self.net.addr(20, PORT_STORE).to_string(),
+            ),
             ("Platform.TtlMinMs", "1000".into()),
             ("Bounds.GraceS", self.bounds.grace_s.to_string()),
             ("Bounds.RetryBudgetRatio", "0.2".into()),
@@ -826,7 +854,8 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let request = b"GET /shallotdeal/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        let request =
+            b"GET /shallotdeal/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
         call(self.addr(PORT_READY), request, 1_000)
             .is_ok_and(|answer| answer.is_some_and(|answer| answer.status() == 200))
     }
@@ -890,7 +919,9 @@
         let reporting = Arc::clone(&worker);
         thread::spawn(move || {
             loop {
-                if reporting.is_up.load(Ordering::SeqCst) && reporting.reports.load(Ordering::SeqCst) {
+                if reporting.is_up.load(Ordering::SeqCst)
+                    && reporting.reports.load(Ordering::SeqCst)
+                {
                     reporting.report("ready");
                 }
                 sleep_ms(1_500);
@@ -900,7 +931,11 @@
     }
 
     pub fn id(&self) -> String {
-        format!("i-{:02x}-{}", self.machine.host, self.lifetime.load(Ordering::SeqCst))
+        format!(
+            "i-{:02x}-{}",
+            self.machine.host,
+            self.lifetime.load(Ordering::SeqCst)
+        )
     }
 
     pub fn born(&self) -> u64 {
@@ -917,11 +952,17 @@
         listener.set_nonblocking(true).expect("listener");
         let worker = Arc::clone(self);
         thread::spawn(move || {
-            while worker.is_up.load(Ordering::SeqCst) && worker.lifetime.load(Ordering::SeqCst) == lifetime {
+            while worker.is_up.load(Ordering::SeqCst)
+                && worker.lifetime.load(Ordering::SeqCst) == lifetime
+            {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
-                        worker.open.lock().unwrap().push(stream.try_clone().expect("stream"));
+                        worker
+                            .open
+                            .lock()
+                            .unwrap()
+                            .push(stream.try_clone().expect("stream"));
                         let worker = Arc::clone(&worker);
                         thread::spawn(move || {
                             let closing = stream.try_clone();
@@ -942,7 +983,11 @@
         if !self.is_up.swap(false, Ordering::SeqCst) {
             return;
         }
-        self.record.line(&format!("worker {} ({}) has crashed", self.id(), self.machine.name));
+        self.record.line(&format!(
+            "worker {} ({}) has crashed",
+            self.id(),
+            self.machine.name
+        ));
         // The listener closes first.
         sleep_ms(5);
         for stream in self.open.lock().unwrap().drain(..) {
@@ -952,7 +997,9 @@
         thread::spawn(move || {
             sleep_ms(worker.down_ms);
             worker.begin_lifetime();
-            worker.record.line(&format!("worker {} is back", worker.id()));
+            worker
+                .record
+                .line(&format!("worker {} is back", worker.id()));
             worker.report("ready");
         });
     }
@@ -995,15 +1042,24 @@
             if self.lifetime.load(Ordering::SeqCst) != lifetime {
                 return Ok(());
             }
-            let id = request.field("X-Shallotdeal-Attempt-Id").unwrap_or("").to_string();
+            let id = request
+                .field("X-Shallotdeal-Attempt-Id")
+                .unwrap_or("")
+                .to_string();
             let keep = "Keep-Alive: timeout=10\r\n";
             if request.word(1) == "/health" {
-                let head = format!("HTTP/1.1 200 OK\r\nX-Shallotdeal-Instance-Id: {}\r\n{keep}Content-Length: 0\r\n\r\n", self.id());
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Shallotdeal-Instance-Id: {}\r\n{keep}Content-Length: 0\r\n\r\n",
+                    self.id()
+                );
                 writer.write_all(head.as_bytes())?;
                 continue;
             }
             if request.field("X-Shallotdeal-Expect-Instance") != Some(&self.id()) {
-                let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Shallotdeal-Attempt-Id: {id}\r\nX-Shallotdeal-Instance-Id: {}\r\nX-Shallotdeal-Not-Executed: 1\r\n{keep}Content-Length: 0\r\n\r\n", self.id());
+                let head = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Shallotdeal-Attempt-Id: {id}\r\nX-Shallotdeal-Instance-Id: {}\r\nX-Shallotdeal-Not-Executed: 1\r\n{keep}Content-Length: 0\r\n\r\n",
+                    self.id()
+                );
                 writer.write_all(head.as_bytes())?;
                 continue;
             }
@@ -1014,12 +1070,17 @@
                 self.machine.name,
                 request.first,
                 request.body.len(),
-                request.field("X-Shallotdeal-Deadline-Remaining").unwrap_or("-"),
+                request
+                    .field("X-Shallotdeal-Deadline-Remaining")
+                    .unwrap_or("-"),
                 request.field("X-Shallotdeal-Caller-Service").unwrap_or("-"),
             ));
             match (self.script)(self, &request) {
                 Work::LoseAnswer => {
-                    self.record.line(&format!("lost     {id}: the answer of {} is lost", self.id()));
+                    self.record.line(&format!(
+                        "lost     {id}: the answer of {} is lost",
+                        self.id()
+                    ));
                     return Ok(());
                 }
                 Work::Crash => {
@@ -1040,7 +1101,11 @@
                     );
                     writer.write_all(head.as_bytes())?;
                     writer.write_all(&body)?;
-                    self.record.line(&format!("answered {id} by {} with {status}, {} B", self.id(), body.len()));
+                    self.record.line(&format!(
+                        "answered {id} by {} with {status}, {} B",
+                        self.id(),
+                        body.len()
+                    ));
                 }
             }
         }
@@ -1101,8 +1166,3 @@
     Broken(String),
     NotRun(String),
 }
-
-/// Discards what is read, at most `count` bytes.
-pub fn read_some(stream: &mut TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
-    stream.read(buffer)
-}
