--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, HashMap},
     fs,
     io::{self, BufRead, BufReader, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -673,6 +673,7 @@
                 ]
                 .iter()
                 .all(|port| TcpListener::bind(net.addr(host, *port)).is_ok())
+                    && UdpSocket::bind(net.addr(host, PORT_INTERNAL)).is_ok()
             });
             if is_free {
                 return net;
