Refuse an answer without a length whose connection was reset during the upload

Callers saw: a worker answered a long upload with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The client got that part as a complete answer.

Cause: the system reports a reset to one call only. While a long request is written and the answer is read at the same time, the write mostly takes the report, and the read then sees a plain end of the stream, which completes a body without a length. `exchange_large` dropped the result of the write.

Fix: the two halves of a connection share the report. A write that fails before the peer has closed its side is remembered by the `WriteHalf`, and `Conn::fill` then ends the stream with an error. This covers each reader of a connection, not only the worker pool. A broken pipe is not such a failure: the system returns it for a reset that arrives after the end of the stream, when all that the peer sent has been received. After a failed write the connection is no longer reused.

Evidence: tests/pool.rs has a raw worker that resets 0 to 150 ms after a part of an answer, for uploads of 60 kB to 16 MB. Complete answers during the upload are returned as before: with a length, in chunks, or without a length and with an orderly end, also if a reset follows that end.

--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -8,7 +8,7 @@
     futures::future::poll_fn,
     socket2::SockRef,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io,
         net::{Shutdown, SocketAddr},
         pin::Pin,
@@ -34,11 +34,19 @@
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
 }
 
+/// Sending half of a connection.
+#[derive(Debug)]
+pub struct WriteHalf {
+    half: OwnedWriteHalf,
+    /// Whether a write has reported that the connection failed before the peer closed its side.
+    has_failed: Cell<bool>,
+}
+
 /// TCP connection with a read buffer.
 #[derive(Debug)]
 pub struct Conn {
     reader: OwnedReadHalf,
-    io: Rc<OwnedWriteHalf>,
+    io: Rc<WriteHalf>,
     buffered: Vec<u8>,
     start: usize,
 }
@@ -54,7 +62,10 @@
         let (reader, writer) = stream.into_split();
         Ok(Self {
             reader,
-            io: Rc::new(writer),
+            io: Rc::new(WriteHalf {
+                half: writer,
+                has_failed: Cell::new(false),
+            }),
             buffered: Vec::new(),
             start: 0,
         })
@@ -109,17 +120,22 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails.
+    /// Fails if the connection fails. The system reports a failure only once; if a write has taken
+    /// the report, the stream ends with an error here too.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        poll_fn(|context| {
+        let count = poll_fn(|context| {
             SCRATCH.with_borrow_mut(|scratch| {
                 let mut buffer = ReadBuf::new(scratch);
                 ready!(Pin::new(&mut self.reader).poll_read(context, &mut buffer))?;
                 append_buffered(&mut self.buffered, &mut self.start, buffer.filled());
-                Poll::Ready(Ok(buffer.filled().len()))
+                Poll::Ready(Ok::<_, io::Error>(buffer.filled().len()))
             })
         })
-        .await
+        .await?;
+        if count == 0 && self.io.has_failed.get() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(count)
     }
 
     /// Returns whether the buffer is empty, no bytes have arrived and the peer has not closed.
@@ -144,31 +160,66 @@
     ///
     /// Fails if the connection fails.
     pub async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
-        write_all(&self.io, bytes).await
+        self.io.write_all(bytes).await
     }
 
     /// Sending half of the connection, for use while another task reads.
-    pub fn io(&self) -> Rc<OwnedWriteHalf> {
+    pub fn io(&self) -> Rc<WriteHalf> {
         Rc::clone(&self.io)
     }
 
     /// Returns the socket; `None` if the sending half is still shared.
     pub fn into_stream(self) -> Option<TcpStream> {
-        let writer = Rc::into_inner(self.io)?;
+        let io = Rc::into_inner(self.io)?;
         // Both halves belong to the same connection.
-        self.reader.reunite(writer).ok()
+        self.reader.reunite(io.half).ok()
     }
 
     /// Closes the sending side of the connection.
     pub fn shutdown_write(&self) {
-        shutdown_write(&self.io);
+        self.io.shutdown();
+    }
+}
+
+impl WriteHalf {
+    /// Writes all bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails.
+    pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match self.half.try_write(bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => bytes = &bytes[count..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.half.writable().await?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    // A broken pipe means that the peer had closed its side before, so that all that
+                    // it sent has arrived.
+                    if error.kind() != io::ErrorKind::BrokenPipe {
+                        self.has_failed.set(true);
+                    }
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Closes the sending side of the connection.
+    pub fn shutdown(&self) {
+        // The peer may have closed already; nothing more is sent in either case.
+        let _ = SockRef::from(self.as_ref()).shutdown(Shutdown::Write);
     }
 }
 
-/// Closes the sending side of a connection.
-pub fn shutdown_write(io: &OwnedWriteHalf) {
-    // The peer may have closed already; nothing more is sent in either case.
-    let _ = SockRef::from(io.as_ref()).shutdown(Shutdown::Write);
+impl AsRef<TcpStream> for WriteHalf {
+    fn as_ref(&self) -> &TcpStream {
+        self.half.as_ref()
+    }
 }
 
 fn append_buffered(buffered: &mut Vec<u8>, start: &mut usize, bytes: &[u8]) {
@@ -179,24 +230,6 @@
     buffered.extend_from_slice(bytes);
 }
 
-/// Writes all bytes to a socket.
-///
-/// # Errors
-///
-/// Fails if the connection fails.
-pub async fn write_all(io: &OwnedWriteHalf, mut bytes: &[u8]) -> io::Result<()> {
-    while !bytes.is_empty() {
-        match io.try_write(bytes) {
-            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(count) => bytes = &bytes[count..],
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => io.writable().await?,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(error),
-        }
-    }
-    Ok(())
-}
-
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_MS: u64 = 50;
 
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -7,7 +7,7 @@
 use {
     crate::mesh::{
         Mesh,
-        conn::{self, Conn, shutdown_write, write_all},
+        conn::{self, Conn, WriteHalf},
         forward::{Answer, Inbound},
         http::{self, MessageError},
         routes::ClientLimits,
@@ -19,7 +19,7 @@
         stream::FuturesOrdered,
     },
     std::{cell::Cell, io, net::SocketAddr, pin::pin, rc::Rc},
-    tokio::net::{TcpStream, tcp::OwnedWriteHalf},
+    tokio::net::TcpStream,
 };
 
 /// Requests of one connection that are handled concurrently; further ones are not read yet.
@@ -148,7 +148,7 @@
         Input::Held(conn) => linger(conn).await,
         Input::Reading(reading) => {
             // Requests that the client sends from now on are not answered.
-            shutdown_write(&io);
+            io.shutdown();
             within(LINGER_MS, reading).await;
         }
     }
@@ -342,7 +342,7 @@
 }
 
 async fn write_answer(
-    io: &OwnedWriteHalf,
+    io: &WriteHalf,
     answer: &Answer,
     is_head_request: bool,
     closes: bool,
@@ -361,7 +361,7 @@
     if !is_head_request {
         bytes.extend_from_slice(&answer.body);
     }
-    write_all(io, &bytes).await
+    io.write_all(&bytes).await
 }
 
 /// Closes a connection such that the client can still read the answers already sent.
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -5,7 +5,7 @@
         collections::HashMap,
         mesh::{
             Mesh,
-            conn::{Conn, write_all},
+            conn::{Conn, WriteHalf},
             frame::{self, Call, CallNumber, Frame, Message, Reply},
             runtime::{detach, now_us, sleep_ms},
         },
@@ -22,7 +22,6 @@
         pin::pin,
         rc::{Rc, Weak},
     },
-    tokio::net::tcp::OwnedWriteHalf,
 };
 
 /// Connect timeout: several times the 24 ms between regions, so that one lost packet is tolerated.
@@ -102,11 +101,11 @@
     /// # Errors
     ///
     /// Fails if the connection fails.
-    pub async fn run(&self, io: &OwnedWriteHalf) -> std::io::Result<()> {
+    pub async fn run(&self, io: &WriteHalf) -> std::io::Result<()> {
         loop {
             let bytes = std::mem::take(&mut *self.bytes.borrow_mut());
             if !bytes.is_empty() {
-                write_all(io, &bytes).await?;
+                io.write_all(&bytes).await?;
                 continue;
             }
             if self.closed.get() {
--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -184,10 +184,14 @@
         is_head_request: bool,
     ) -> Result<(WorkerAnswer, bool), MessageError> {
         let io = conn.io();
-        let writing = pin!(crate::mesh::conn::write_all(&io, request));
+        let writing = pin!(io.write_all(request));
         let reading = pin!(self.answer(conn, attempt_id, is_head_request));
         match select(writing, reading).await {
-            Either::Left((_, reading)) => reading.await,
+            // The worker may have answered completely before the write failed.
+            Either::Left((written, reading)) => {
+                let (answer, is_reusable) = reading.await?;
+                Ok((answer, is_reusable && written.is_ok()))
+            }
             // The rest of the request is never sent, so the connection cannot be reused.
             Either::Right((answer, _)) => answer.map(|(answer, _)| (answer, false)),
         }
--- a/tests/mesh/answers.rs
+++ b/tests/mesh/answers.rs
@@ -1,7 +1,7 @@
 //! Workers that fail or shed requests, or send incomplete, invalid, missing or repeated answers.
 
 use {
-    crate::harness::{Behaviour, Client, Fleet, eventually, run},
+    crate::harness::{Behaviour, Client, Fleet, config, eventually, run},
     shallotdeal::mesh::runtime::sleep_ms,
 };
 
@@ -43,6 +43,25 @@
     });
 }
 
+#[test]
+fn a_part_of_an_answer_to_a_long_upload_is_not_forwarded() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        fleet.set_behaviour(Behaviour::EarlyReset);
+        let document = config(2, 1_500).replace("1000000", "32000000");
+        fleet.store.write("op/config", document.as_bytes(), 0);
+        eventually("larger limit", || fleet.vms[0].mesh.config_version().0 == 2).await;
+        let body = vec![b'x'; 16 << 20];
+        for number in 0..3 {
+            let mut client = Client::connect(&fleet.vms[0]).await;
+            let id = format!("id-{number}");
+            client.send("POST", "/order/x", &id, "", &body).await;
+            let response = client.receive().await.unwrap();
+            assert_eq!(response.head.status, 502, "{}", response.body);
+        }
+    });
+}
+
 #[test]
 fn an_idempotent_request_is_retried_on_another_worker_within_the_retry_budget() {
     run(async {
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -6,7 +6,7 @@
     shallotdeal::{
         mesh::{
             Mesh, Parts,
-            conn::{self, Conn, write_all},
+            conn::{self, Conn},
             daemon,
             frame::WorkerIncarnation,
             gate::Change,
@@ -426,6 +426,9 @@
     Unframed,
     /// Answers without a length and resets the connection before the end.
     UnframedReset,
+    /// Answers without a length before it has read the body of the request, and resets the connection
+    /// before the end of the answer.
+    EarlyReset,
     /// Closes the connection in the middle of the answer.
     Truncate,
     /// Closes the connection without an answer.
@@ -580,10 +583,15 @@
             let Ok(head) = http::read_request(&mut conn, 65_536).await else {
                 return;
             };
+            let attempt = head.field(ATTEMPT).unwrap_or_default().to_owned();
+            if self.behaviour.get() == Behaviour::EarlyReset {
+                self.respond(&mut conn, &attempt).await;
+                conn.into_stream().unwrap().set_zero_linger().unwrap();
+                return;
+            }
             let Ok(body) = http::read_body(&mut conn, head.framing, 1 << 30).await else {
                 return;
             };
-            let attempt = head.field(ATTEMPT).unwrap_or_default().to_owned();
             if self.has_crashed.get() {
                 return;
             }
@@ -638,7 +646,7 @@
                 "{good}{}Content-Length: 3\r\n\r\nold",
                 head("200 OK", "another")
             ),
-            Behaviour::Unframed | Behaviour::UnframedReset => {
+            Behaviour::Unframed | Behaviour::UnframedReset | Behaviour::EarlyReset => {
                 format!("{}\r\n{body}", head("200 OK", attempt))
             }
             Behaviour::Truncate => good[..good.len() - 4].into(),
@@ -651,7 +659,7 @@
                 let (first, repeated) = answer.text(&head("200 OK", attempt));
                 let mut text = first + &repeated;
                 let mut pieces = 0;
-                while write_all(&io, text.as_bytes()).await.is_ok() {
+                while io.write_all(text.as_bytes()).await.is_ok() {
                     text.clone_from(&repeated);
                     pieces += 1;
                     if answer == EndlessAnswer::Length && pieces == LENGTH_PIECES {
@@ -673,7 +681,7 @@
                 format!("HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\nContent-Length: 2\r\n\r\nhm")
             }
         };
-        if write_all(&io, text.as_bytes()).await.is_err() {
+        if io.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
         !matches!(
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,157 @@
+//! The pool's exchange with a raw worker that sends broken answers.
+
+use {
+    shallotdeal::{
+        mesh::{
+            conn::Conn,
+            pool::{ExchangeError, ExchangeErrorKind, Pool, WorkerAnswer},
+            runtime,
+        },
+        platform::WireProtocol,
+    },
+    socket2::SockRef,
+    std::{
+        io::{ErrorKind, Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        rc::Rc,
+        thread,
+        time::Duration,
+    },
+};
+
+/// Time limit of a test, much longer than any test needs.
+const TEST_LIMIT_MS: u64 = 30_000;
+
+/// Head of an answer to the request `id` up to the fields that frame its body.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Shallotdeal-Attempt-Id: id\r\n\
+                    X-Shallotdeal-Response-Stamp: s-id\r\n";
+
+/// How a worker ends a connection after its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Closes its sending side, and reads until the client closes.
+    HalfClose,
+    /// Closes its sending side, and then resets the connection.
+    HalfCloseReset,
+    /// Resets the connection after a delay.
+    Reset { after_ms: u64 },
+}
+
+/// Answers one connection once the head of its request has arrived, and ends it. Returns the
+/// address.
+fn worker(answer: Vec<u8>, end: End) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = [0; 1_024];
+        assert!(stream.read(&mut bytes).unwrap() > 0);
+        // The client may refuse the answer before it has read all of it.
+        let _ = stream.write_all(&answer);
+        match end {
+            End::HalfClose => read_to_end(&mut stream),
+            End::HalfCloseReset => {
+                let _ = stream.shutdown(Shutdown::Write);
+                thread::sleep(Duration::from_millis(20));
+                reset(stream);
+            }
+            End::Reset { after_ms } => {
+                thread::sleep(Duration::from_millis(after_ms));
+                reset(stream);
+            }
+        }
+    });
+    addr
+}
+
+fn read_to_end(stream: &mut TcpStream) {
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut bytes = vec![0; 1 << 16];
+    loop {
+        match stream.read(&mut bytes) {
+            Ok(0) => return,
+            Err(error) if error.kind() != ErrorKind::Interrupted => return,
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+    drop(stream);
+}
+
+/// Request `id` with a body of this length.
+fn request(body_bytes: usize) -> Vec<u8> {
+    let mut request = format!(
+        "POST /order/x HTTP/1.1\r\nHost: h\r\nX-Shallotdeal-Attempt-Id: id\r\n\
+         Content-Length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes();
+    request.resize(request.len() + body_bytes, b'x');
+    request
+}
+
+fn exchange(addr: SocketAddr, request: &[u8]) -> Result<WorkerAnswer, ExchangeError> {
+    runtime::block_on(async {
+        let pool = Pool::new(Rc::new(WireProtocol));
+        let exchange = pool.exchange(addr, request, "id", false);
+        let result = runtime::within(TEST_LIMIT_MS, exchange).await;
+        result.expect("the exchange exceeded its time limit")
+    })
+}
+
+// Guards against a part of an answer that counts as complete: the kernel reports a reset once, and
+// the sending side takes the report, so that the receiving side sees a plain end.
+#[test]
+fn an_answer_without_length_that_is_reset_during_the_upload_is_not_complete() {
+    let answer = format!("{HEAD}\r\npart of a body");
+    let mut not_lost = Vec::new();
+    for body_bytes in [60_000, 200_000, 1 << 20, 16 << 20] {
+        let request = request(body_bytes);
+        for after_ms in [0, 1, 5, 20, 50, 150] {
+            let addr = worker(answer.clone().into(), End::Reset { after_ms });
+            let kind = exchange(addr, &request).map_err(|error| error.kind).err();
+            if kind != Some(ExchangeErrorKind::ConnectionLost) {
+                not_lost.push((body_bytes, after_ms, kind));
+            }
+        }
+    }
+    assert!(not_lost.is_empty(), "{}: {not_lost:?}", not_lost.len());
+}
+
+#[test]
+fn a_reset_that_a_write_has_reported_ends_the_stream_with_an_error() {
+    let addr = worker(b"part".into(), End::Reset { after_ms: 0 });
+    runtime::block_on(async {
+        let mut conn = Conn::connect(addr).await.unwrap();
+        conn.write_all(b"x").await.unwrap();
+        while conn.write_all(b"x").await.is_ok() {
+            runtime::sleep_ms(1).await;
+        }
+        while let Ok(count) = conn.fill().await {
+            assert!(count > 0, "the stream ended without an error");
+        }
+    });
+}
+
+#[test]
+fn a_complete_answer_during_the_upload_is_returned() {
+    let unframed = format!("{HEAD}\r\nbody");
+    let framed = format!("{HEAD}Content-Length: 4\r\n\r\nbody");
+    let chunked = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    let request = request(16 << 20);
+    for (answer, end) in [
+        (&unframed, End::HalfClose),
+        (&unframed, End::HalfCloseReset),
+        (&framed, End::HalfClose),
+        (&framed, End::Reset { after_ms: 20 }),
+        (&chunked, End::Reset { after_ms: 20 }),
+    ] {
+        let addr = worker(answer.clone().into(), end);
+        let answer = exchange(addr, &request).unwrap();
+        assert_eq!(answer.body, b"body", "{end:?}");
+    }
+}
