Refuse an answer with an invalid status instead of skipping or forwarding it

Callers saw: a worker in trouble sent a head with the status 000 and then a whole 200 answer. The client got the 200 as its answer, though the head before belongs to no answer. A status of 600 or 999 was passed on as it was.

Cause: `http::read_answer` took each status under 200 for that of an interim response, 000, 099 and 101 among them, and each other one for a final response. RFC 9110, section 15, gives 100 to 599; a switch of protocols (101) needs an `Upgrade` that no request has. A daemon that receives a reply of another one did not check its status either, and took a length of the fields beyond the payload for the whole payload, so that bytes of the body went into the client's head.

Fix: a final status is 200 to 599 in one function, which the reader of answers and the receiver of replies use; an interim one is 100 to 199 without 101; all others are malformed. An invalid reply has the outcome "unknown", is logged and counted as `peers.invalid_reply`.

The client of src/backend.rs refused all of these before; its test is kept.

--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -12,7 +12,7 @@
 
 use {
     crate::{
-        mesh::conn::Conn,
+        mesh::{conn::Conn, http},
         policy::suspect::CrashRecord,
         request::{Importance, Incarnation, Refusal, ServiceName},
     },
@@ -166,6 +166,19 @@
     Refused(Refusal),
 }
 
+impl CallResult {
+    /// Returns whether an answer has the status of a final response, and its fields are within the
+    /// payload.
+    pub fn is_valid(&self, payload: &[u8]) -> bool {
+        match self {
+            Self::Answer {
+                status, head_bytes, ..
+            } => http::is_final_status(*status) && *head_bytes as usize <= payload.len(),
+            Self::Refused(_) => true,
+        }
+    }
+}
+
 /// Reply to a call.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -25,6 +25,9 @@
 /// Interim answers before an answer; a message with more is rejected.
 const MAX_INTERIM_ANSWERS: usize = 16;
 
+/// Status of a response after which the connection speaks another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Hop-by-hop fields (RFC 9110, section 7.6.1), and those that frame the body.
 const HOP_BY_HOP_FIELDS: &[&str] = &[
     "connection",
@@ -154,13 +157,24 @@
     read_head(conn, max_bytes, parse_request).await
 }
 
+/// Returns whether a status is one of a final response: 200 to 599 (RFC 9110, section 15).
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
+/// Returns whether a status is one of an interim response. A switch of protocols, which no request
+/// asks for, is none.
+fn is_interim_status(status: u16) -> bool {
+    (100..=199).contains(&status) && status != SWITCHING_PROTOCOLS
+}
+
 /// Reads the head of a response, skipping interim responses. A response to a `HEAD` request
 /// (`is_head_request`) has no body.
 ///
 /// # Errors
 ///
-/// Fails if the head is malformed or too large, if too many interim responses come first, or if the
-/// connection ends before it is complete.
+/// Fails if the head is malformed or too large, if its status is invalid, if too many interim
+/// responses come first, or if the connection ends before it is complete.
 pub async fn read_answer(
     conn: &mut Conn,
     max_bytes: usize,
@@ -171,9 +185,12 @@
             parse_answer(bytes, is_head_request)
         })
         .await?;
-        if head.status >= 200 {
+        if is_final_status(head.status) {
             return Ok(head);
         }
+        if !is_interim_status(head.status) {
+            return Err(MessageError::Malformed);
+        }
     }
     Err(MessageError::Malformed)
 }
--- a/src/mesh/sends.rs
+++ b/src/mesh/sends.rs
@@ -186,6 +186,13 @@
                 return history.record_unknown_outcome(Reason::Broken);
             }
         };
+        if !reply.result.is_valid(&payload) {
+            tracing::warn!(attempt = %request.metadata.attempt_id, vm = %choice.vm,
+                result = ?reply.result, payload_bytes = payload.len(), "invalid reply");
+            self.metrics.count("peers.invalid_reply");
+            open_send.finish(SendOutcome::Failed, Some(reply.load));
+            return history.record_unknown_outcome(Reason::Broken);
+        }
         history.sends += u32::from(reply.was_sent);
         history.gate_rejections += usize::from(!reply.was_sent);
         history.downstream_failed = reply.downstream_failed;
@@ -228,7 +235,7 @@
                 };
                 open_send.finish(outcome, Some(reply.load));
                 history.may_have_run |= !not_run;
-                let body = payload.split_off((head_bytes as usize).min(payload.len()));
+                let body = payload.split_off(head_bytes as usize);
                 let answer = Answer {
                     status,
                     fields: payload,
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -163,6 +163,25 @@
     }
 }
 
+#[test]
+fn responses_with_an_invalid_status_are_errors() {
+    for status in [
+        "000", "001", "099", "101", "600", "999", "99", "2000", "+20",
+    ] {
+        let head = format!("HTTP/1.1 {status} X\r\n");
+        let whole = format!("{head}content-length: 5\r\n\r\nhello");
+        for text in [
+            whole.clone(),
+            format!("{head}\r\n{COMPLETE}"),
+            whole + COMPLETE,
+        ] {
+            let script = vec![Step::Write(text.leak()), Step::Close];
+            let error = run_script(script).expect_err(status);
+            assert!(error.may_have_run && !error.timed_out, "{status}: {error}");
+        }
+    }
+}
+
 #[test]
 fn responses_over_the_size_limit_are_errors() {
     let large = format!(
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod need;
 mod organisations;
 mod planned;
+mod replies;
 mod requests;
 mod store;
 #[path = "../writers/mod.rs"]
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -83,6 +83,19 @@
     drop(stream);
 }
 
+/// Exchanges a short request with a worker that sends this answer and then closes its side.
+fn exchange_short(answer: &str) -> Result<Vec<u8>, ExchangeErrorKind> {
+    let addr = worker(answer.into(), End::HalfClose);
+    let result = exchange(addr, &request(0));
+    result.map(|answer| answer.body).map_err(|error| error.kind)
+}
+
+/// Complete answer with this status line and a body of `body`.
+fn answer_with(status_line: &str) -> String {
+    let fields = HEAD.split_once("\r\n").unwrap().1;
+    format!("{status_line}\r\n{fields}Content-Length: 4\r\n\r\nbody")
+}
+
 /// Request `id` with a body of this length.
 fn request(body_bytes: usize) -> Vec<u8> {
     let mut request = format!(
@@ -155,3 +168,34 @@
         assert_eq!(answer.body, b"body", "{end:?}");
     }
 }
+
+#[test]
+fn an_answer_with_an_invalid_status_is_refused() {
+    let complete = answer_with("HTTP/1.1 200 OK");
+    for status in [
+        "000", "001", "099", "101", "600", "999", "99", "2000", "+20", "-20", "2 0", "2\x000",
+    ] {
+        let line = format!("HTTP/1.1 {status} OK");
+        let without_body = answer_with(&line).replace("Content-Length: 4\r\n\r\nbody", "\r\n");
+        for answer in [
+            answer_with(&line),
+            answer_with(&line) + &complete,
+            without_body + &complete,
+        ] {
+            assert_eq!(
+                exchange_short(&answer),
+                Err(ExchangeErrorKind::InvalidAnswer),
+                "{answer}"
+            );
+        }
+    }
+}
+
+#[test]
+fn interim_answers_are_skipped() {
+    let complete = answer_with("HTTP/1.1 200 OK");
+    for status in [100, 102, 103, 199] {
+        let answer = format!("HTTP/1.1 {status} X\r\nX: y\r\n\r\n{complete}");
+        assert_eq!(exchange_short(&answer), Ok(b"body".to_vec()), "{status}");
+    }
+}
--- a/tests/wire_store.rs
+++ b/tests/wire_store.rs
@@ -57,6 +57,37 @@
     seen.take()
 }
 
+/// Renews a lease at a server that sends these bytes and then closes the connection.
+fn renew_with(answer: String) -> Result<bool, StoreError> {
+    runtime::block_on(async {
+        let listener = conn::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let store = WireStore::new(listener.local_addr().unwrap());
+        let _server = runtime::spawn(async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut conn = Conn::new(stream).unwrap();
+            http::read_request(&mut conn, 65_536).await.unwrap();
+            conn.write_all(answer.as_bytes()).await.unwrap();
+        });
+        store.renew(LeaseId(1)).await.map(|answered| answered.value)
+    })
+}
+
+#[test]
+fn an_answer_with_an_invalid_status_is_uncertain() {
+    let complete = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    assert!(renew_with(complete.into()).unwrap());
+    for status in ["000", "099", "101", "600", "999"] {
+        let head = format!("HTTP/1.1 {status} X\r\n\r\n");
+        for answer in [head.clone(), head + complete] {
+            let result = renew_with(answer);
+            assert!(
+                matches!(result, Err(StoreError::Uncertain { .. })),
+                "{status}: {result:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_listing_reads_one_page_after_a_key() {
     let script = vec![
