Refuse a chunk line without a size instead of taking it for the last chunk

Callers saw: a chunked answer in which the line with the size of a chunk was empty or began with an extension was delivered as a whole 200 answer that ended there, often with an empty body.

Cause: both parsers read such a line as size zero: `httparse::parse_chunk_size` in src/mesh/http.rs, and the decoder of `async-h1`, which reads the answers of backend servers and the requests of callers on the project's own interface. RFC 9112, section 7.1, asks for one digit at least. Requests were cut in the same way, and such an order ran with a part of its body.

Fix: src/mesh/http.rs refuses a size line that does not begin with a digit. `Framed`, which gives `async-h1` the bytes of one message, follows the chunks of a body (src/chunks.rs) and ends the input with an error at a malformed line.

Evidence: failed before, pass now: 17 malformed size lines in three positions at the pool (tests/pool.rs), 10 at src/backend.rs (tests/backend.rs), a request of a client (tests/mesh/requests.rs, answered 200 before) and of a caller (tests/ingress). A complete chunked answer followed by surplus bytes was lost with "expected end of trailers" and is delivered now.

--- a/src/framed.rs
+++ b/src/framed.rs
@@ -5,6 +5,7 @@
 //! for the next message.
 
 use {
+    crate::chunks::{ChunkPosition, MalformedChunk},
     async_std::net::TcpStream,
     futures::{AsyncRead, AsyncWrite, ready},
     parking_lot::Mutex,
@@ -26,8 +27,8 @@
     Head,
     /// A body with this many bytes left.
     Body(u64),
-    /// A chunked body, whose end the parser recognises.
-    Chunked,
+    /// A chunked body.
+    Chunked(ChunkPosition),
 }
 
 #[derive(Debug)]
@@ -75,7 +76,7 @@
     /// Expects a head next; returns false if the previous body was not read completely.
     pub fn expect_head(&self) -> bool {
         let mut state = self.state.lock();
-        let is_complete = !matches!(state.part, Part::Body(left) if left > 0);
+        let is_complete = state.part == Part::Head || state.is_at_end();
         state.part = Part::Head;
         state.head_bytes = 0;
         state.line_bytes = 0;
@@ -84,7 +85,10 @@
 
     /// Expects a body of this length next, or a chunked one.
     pub fn expect_body(&self, length_bytes: Option<u64>) {
-        self.state.lock().part = length_bytes.map_or(Part::Chunked, Part::Body);
+        self.state.lock().part = match length_bytes {
+            Some(length_bytes) => Part::Body(length_bytes),
+            None => Part::Chunked(ChunkPosition::START),
+        };
     }
 
     /// Ends the input of the parser: further reads return no bytes.
@@ -115,12 +119,16 @@
 
 impl State {
     /// Copies those buffered bytes to `out` that belong to the current part; returns their number.
-    fn read_buffered(&mut self, out: &mut [u8]) -> usize {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a chunked body is malformed.
+    fn read_buffered(&mut self, out: &mut [u8]) -> Result<usize, MalformedChunk> {
         let available_bytes = self.buffered.len().min(out.len());
-        let read_bytes = match self.part {
+        let read_bytes = match &mut self.part {
             Part::Head => self.head_length(available_bytes),
-            Part::Body(left) => available_bytes.min(left as usize),
-            Part::Chunked => available_bytes,
+            Part::Body(left) => available_bytes.min(*left as usize),
+            Part::Chunked(position) => position.advance(&self.buffered[..available_bytes])?,
         };
         out[..read_bytes].copy_from_slice(&self.buffered[..read_bytes]);
         self.buffered.drain(..read_bytes);
@@ -128,7 +136,7 @@
             self.buffered = Vec::new();
         }
         self.advance(read_bytes);
-        read_bytes
+        Ok(read_bytes)
     }
 
     /// Returns how many of the first `available_bytes` belong to the head, and ends the head at its
@@ -149,6 +157,15 @@
         available_bytes
     }
 
+    /// Returns whether the current message has ended.
+    fn is_at_end(&self) -> bool {
+        match self.part {
+            Part::Head => false,
+            Part::Body(left) => left == 0,
+            Part::Chunked(position) => position.is_end(),
+        }
+    }
+
     /// Counts bytes read of the body.
     fn advance(&mut self, read_bytes: usize) {
         if let Part::Body(left) = &mut self.part {
@@ -160,9 +177,8 @@
     /// have to go through the buffer.
     fn direct_bytes(&self) -> Option<usize> {
         match self.part {
-            Part::Head => None,
+            Part::Head | Part::Chunked(_) => None,
             Part::Body(left) => Some(usize::try_from(left).unwrap_or(usize::MAX)),
-            Part::Chunked => Some(usize::MAX),
         }
     }
 }
@@ -175,8 +191,8 @@
     ) -> Poll<io::Result<usize>> {
         let shared = Arc::clone(&self.state);
         let mut state = shared.lock();
-        if !state.buffered.is_empty() || state.part == Part::Body(0) {
-            return Poll::Ready(Ok(state.read_buffered(out)));
+        if !state.buffered.is_empty() || state.is_at_end() {
+            return Poll::Ready(state.read_buffered(out).map_err(invalid_data));
         }
         if let Some(max_bytes) = state.direct_bytes() {
             let size_bytes = max_bytes.min(out.len());
@@ -189,10 +205,14 @@
         let reading = Pin::new(&mut self.stream).poll_read(cx, &mut bytes);
         let read_bytes = ready!(reading)?;
         state.buffered.extend_from_slice(&bytes[..read_bytes]);
-        Poll::Ready(Ok(state.read_buffered(out)))
+        Poll::Ready(state.read_buffered(out).map_err(invalid_data))
     }
 }
 
+fn invalid_data(error: MalformedChunk) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
+
 impl AsyncWrite for Framed {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 #[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub, reason = "generated code")]
 #[rustfmt::skip]
 pub mod call_capnp;
+pub mod chunks;
 pub mod clock;
 pub mod cmd;
 pub mod collections;
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -486,6 +486,11 @@
 
 async fn read_chunk_size(conn: &mut Conn) -> Result<u64, MessageError> {
     loop {
+        // `httparse` takes a line without digits for size zero.
+        let first = conn.buffered().first();
+        if first.is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(MessageError::Malformed);
+        }
         match httparse::parse_chunk_size(conn.buffered()) {
             Ok(httparse::Status::Complete((length, size))) => {
                 conn.consume(length);
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -182,6 +182,48 @@
     }
 }
 
+// Guards against a chunk line without a size that counts as the last chunk.
+#[test]
+fn responses_with_a_malformed_chunk_are_errors() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for line in [
+        "",
+        ";x",
+        " ",
+        " 5",
+        "g",
+        "-5",
+        "+5",
+        "0x5",
+        "5 5",
+        "10000000000000005",
+    ] {
+        for text in [
+            format!("{HEAD}{line}\r\nhello\r\n0\r\n\r\n"),
+            format!("{HEAD}5\r\nhello\r\n{line}\r\n\r\n"),
+            format!("{HEAD}5\r\nhello\r\n{line}\r\n0\r\n\r\n"),
+        ] {
+            let script = vec![Step::Write(text.leak()), Step::Close];
+            let error = run_script(script).expect_err(line);
+            assert!(error.may_have_run && !error.timed_out, "{line}: {error}");
+        }
+    }
+}
+
+#[test]
+fn bytes_after_the_last_chunk_are_not_taken_for_the_next_response() {
+    let chunked =
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx: y\r\n\r\n";
+    let surplus = format!("{chunked}HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold");
+    let (addr, _) = server(vec![
+        vec![Step::Write(surplus.leak()), Step::Stall],
+        vec![Step::Write(COMPLETE)],
+    ]);
+    let backend = HttpBackend::new(MAX_BODY_BYTES);
+    assert_eq!(run(&backend, addr, "POST").unwrap().body, b"hello");
+    assert_eq!(run(&backend, addr, "POST").unwrap().body, b"hello");
+}
+
 #[test]
 fn responses_over_the_size_limit_are_errors() {
     let large = format!(
--- a/tests/ingress/main.rs
+++ b/tests/ingress/main.rs
@@ -24,6 +24,8 @@
         "POST /echo/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: gzip\r\n\r\nab",
         "POST /echo/ HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n",
         "POST /echo/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        "POST /echo/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n",
+        "POST /echo/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n\r\n\r\n",
         &long_head,
         &many_headers,
     ];
--- a/tests/mesh/requests.rs
+++ b/tests/mesh/requests.rs
@@ -143,6 +143,11 @@
                 "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n",
                 413,
             ),
+            (
+                "POST /order/x HTTP/1.1\r\nHost: h\r\nX-Shallotdeal-Attempt-Id: a\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n\r\n\r\n",
+                400,
+            ),
             ("GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n", 400),
             (
                 "GET /none/ HTTP/1.1\r\nHost: h\r\nX-Shallotdeal-Attempt-Id: a\r\n\r\n",
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -199,3 +199,65 @@
         assert_eq!(exchange_short(&answer), Ok(b"body".to_vec()), "{status}");
     }
 }
+
+// Guards against a chunk line without a size that counts as the last chunk: the answer is cut there
+// and looks complete.
+#[test]
+fn an_answer_with_a_malformed_chunk_is_refused() {
+    let chunked = |chunks: &str| format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n{chunks}");
+    let end = "0\r\n\r\n";
+    for chunks in [
+        "",
+        ";x",
+        " ",
+        " 4",
+        "\t4",
+        "g",
+        "-4",
+        "+4",
+        "0x4",
+        "4 4",
+        "4\x004",
+        "\x014",
+        "\n4",
+        ",4",
+        "=",
+        "10000000000000004",
+        "fffffffffffffffff",
+    ] {
+        let first = chunked(&format!("{chunks}\r\nbody\r\n{end}"));
+        let second = chunked(&format!("4\r\nbody\r\n{chunks}\r\n\r\n"));
+        let last = chunked(&format!("4\r\nbody\r\n{chunks}\r\n{end}"));
+        for answer in [first, second, last] {
+            let result = exchange_short(&answer);
+            assert_eq!(result, Err(ExchangeErrorKind::InvalidAnswer), "{answer}");
+        }
+    }
+    for chunks in [
+        "4\r\nbody0\r\n\r\n",
+        "4\r\nbody\n0\r\n\r\n",
+        "4\nbody\r\n0\r\n\r\n",
+    ] {
+        let result = exchange_short(&chunked(chunks));
+        assert_eq!(result, Err(ExchangeErrorKind::InvalidAnswer), "{chunks}");
+    }
+    for chunks in [
+        "",
+        "4",
+        "4\r\n",
+        "4\r\nbo",
+        "4\r\nbody\r\n",
+        "4\r\nbody\r\n0\r\n",
+    ] {
+        let result = exchange_short(&chunked(chunks));
+        assert_eq!(result, Err(ExchangeErrorKind::ConnectionLost), "{chunks}");
+    }
+    for chunks in [
+        "4\r\nbody\r\n",
+        "2;x=y\r\nbo\r\n02\r\ndy\r\n",
+        "2 \r\nbo\r\n2\r\ndy\r\n",
+    ] {
+        let result = exchange_short(&chunked(&format!("{chunks}{end}")));
+        assert_eq!(result, Ok(b"body".to_vec()), "{chunks}");
+    }
+}
