Take any number as the idle time that a worker states

Callers saw: nothing was reported; this was found while the reading of answers was checked. An answer with `Keep-Alive: timeout=` and a number near 2^64 ended the request in a debug build (panic: attempt to multiply with overflow) and gave a release build a wrapped time, so that a connection was closed or kept at random.

Cause: `Pool::keep_idle` multiplied the seconds of the answer without a check.

Fix: the arithmetic saturates. A number that does not fit 64 bits, or is no number, counted as not stated before and does so now.

--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -169,7 +169,7 @@
         })?;
         self.last_answer_us.set(now_us());
         if is_reusable {
-            self.keep_idle(conn, &answer.head);
+            self.keep_idle(conn, answer.head.keep_alive_s);
         }
         Ok(answer)
     }
@@ -225,9 +225,7 @@
     /// Fails with the cause if the worker does not accept the connection.
     pub async fn preconnect(&self, addr: SocketAddr) -> Result<(), SmolStr> {
         let conn = self.connect(addr).await?;
-        // Milliseconds times percent times 10 are microseconds.
-        let until_us = now_us() + DEFAULT_IDLE_MS * 10 * IDLE_SHARE_PERCENT;
-        self.idle.borrow_mut().push(IdleConn { conn, until_us });
+        self.keep_idle(conn, None);
         Ok(())
     }
 
@@ -259,12 +257,12 @@
         conn.map_err(|error| error.to_smolstr())
     }
 
-    fn keep_idle(&self, conn: Conn, head: &Head) {
-        let idle_ms = head
-            .keep_alive_s
-            .map_or(DEFAULT_IDLE_MS, |seconds| seconds * 1_000);
+    /// Keeps a connection for reuse, for as long as the worker states.
+    fn keep_idle(&self, conn: Conn, keep_alive_s: Option<u64>) {
+        let idle_ms = keep_alive_s.map_or(DEFAULT_IDLE_MS, |seconds| seconds.saturating_mul(1_000));
         // Milliseconds times percent times 10 are microseconds.
-        let until_us = now_us() + idle_ms * 10 * IDLE_SHARE_PERCENT;
+        let share_us = idle_ms.saturating_mul(10 * IDLE_SHARE_PERCENT);
+        let until_us = now_us().saturating_add(share_us);
         self.idle.borrow_mut().push(IdleConn { conn, until_us });
     }
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -261,3 +261,45 @@
         assert_eq!(result, Ok(b"body".to_vec()), "{chunks}");
     }
 }
+
+// Guards against an arithmetic overflow in the time for which a connection is kept.
+#[test]
+fn a_connection_is_reused_after_an_answer_with_a_large_idle_time() {
+    for timeout in [
+        "5",
+        "18446744073709551",
+        "1844674407370955161",
+        "18446744073709551615",
+    ] {
+        let answer =
+            format!("{HEAD}Keep-Alive: timeout={timeout}\r\nContent-Length: 4\r\n\r\nbody");
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let worker = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut requests = 0;
+            while stream.read(&mut [0; 1_024]).is_ok_and(|count| count > 0) {
+                requests += 1;
+                stream.write_all(answer.as_bytes()).unwrap();
+            }
+            requests
+        });
+        runtime::block_on(async {
+            let pool = Pool::new(Rc::new(WireProtocol));
+            for _ in 0..2 {
+                let answer = pool.exchange(addr, &request(0), "id", false).await;
+                assert_eq!(answer.unwrap().body, b"body", "{timeout}");
+            }
+        });
+        assert_eq!(worker.join().unwrap(), 2, "{timeout}");
+    }
+}
+
+#[test]
+fn an_unreadable_idle_time_is_ignored() {
+    for timeout in ["18446744073709551616", "-1", "1e9", "0x5", "", " "] {
+        let fields = format!("{HEAD}Keep-Alive: timeout={timeout}\r\nContent-Length: 4\r\n\r\n");
+        let result = exchange_short(&format!("{fields}body"));
+        assert_eq!(result, Ok(b"body".to_vec()), "{timeout}");
+    }
+}
