Bear the largest numbers of a configuration, a report and a call

Callers saw: nothing was reported here; the test of unusual documents found it. With a route's timeout and the client's remaining time near 2^64, each request of the route was refused with 503 in a release build (the deadline wrapped into the past) and its connection ended by a panic in a debug build. An idle timeout of that size ended connections, and a worker that reported 2^32 - 1 slots ended its requests in a debug build.

Cause: timeouts of the configuration are added to times, and slots multiplied, as they were decoded.

Evidence: tests/mesh/odd_input.rs sets each number of a configuration and of a report to 0, -1, 0.5, 1e308 and the largest of 32, 63 and 64 bits, and sends documents that are empty, nested 200,000 levels, no UTF-8 or cut off. Before, three of its four tests failed in a debug build and one in a release build; all pass now. Unreadable documents and reports were handled before: that test is kept.

--- a/src/mesh/routes.rs
+++ b/src/mesh/routes.rs
@@ -61,6 +61,20 @@
     pub idle_timeout_ms: u64,
 }
 
+/// Longest timeout of a route or a client, in milliseconds. Longer ones are limited to it, so that a
+/// time plus a timeout does not overflow.
+const MAX_TIMEOUT_MS: u64 = 24 * 3_600 * 1_000;
+
+impl ClientLimits {
+    fn with_bounded_timeouts(self) -> Self {
+        Self {
+            head_timeout_ms: self.head_timeout_ms.min(MAX_TIMEOUT_MS),
+            idle_timeout_ms: self.idle_timeout_ms.min(MAX_TIMEOUT_MS),
+            ..self
+        }
+    }
+}
+
 impl Default for ClientLimits {
     /// Limits until a configuration is known, taken from the platform's example configuration.
     fn default() -> Self {
@@ -112,7 +126,7 @@
 }
 
 impl RouteTable {
-    /// Validates the routes and sorts those of each host.
+    /// Validates the routes and sorts those of each host. Limits all timeouts to a day.
     ///
     /// # Errors
     ///
@@ -126,8 +140,9 @@
     ) -> Result<Self, ConfigError> {
         let mut hosts: HashMap<SmolStr, Vec<Rc<Route>>> = HashMap::default();
         let mut route_importances = Vec::new();
-        for (host, route) in routes {
+        for (host, mut route) in routes {
             validate(&route)?;
+            route.timeout_ms = route.timeout_ms.min(MAX_TIMEOUT_MS);
             route_importances.push(route.importance);
             let host = SmolStr::from(host.to_ascii_lowercase());
             hosts.entry(host).or_default().push(Rc::new(route));
@@ -138,7 +153,7 @@
         let organisation_importances = organisations.iter().map(|known| known.importance);
         Ok(Self {
             version,
-            limits,
+            limits: limits.with_bounded_timeouts(),
             hosts,
             route_importances: distinct(route_importances),
             organisation_importances: distinct(organisation_importances.collect()),
--- a/src/mesh/work.rs
+++ b/src/mesh/work.rs
@@ -53,7 +53,9 @@
         return mesh.refusal_reply(call, Refusal::not_run(Reason::Quarantined), false);
     }
     let started_us = now_us();
-    let deadline_us = (started_us + call.remaining_us).saturating_sub(GATE_DEADLINE_MARGIN_US);
+    let deadline_us = started_us
+        .saturating_add(call.remaining_us)
+        .saturating_sub(GATE_DEADLINE_MARGIN_US);
     let entry = mesh.gate.borrow_mut().offer(call, deadline_us, started_us);
     let entry = match entry {
         Ok(entry) => entry,
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -327,7 +327,7 @@
     }
 
     fn epoch_samples(&self) -> u32 {
-        let samples = self.base as u32 * EPOCH_SAMPLES_PER_SLOT;
+        let samples = (self.base as u32).saturating_mul(EPOCH_SAMPLES_PER_SLOT);
         samples.clamp(EPOCH_SAMPLES_MIN, EPOCH_SAMPLES_MAX)
     }
 
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod left;
 mod need;
+mod odd_input;
 mod organisations;
 mod planned;
 mod replies;
