--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -182,6 +182,33 @@
     }
 }
 
+#[test]
+fn responses_with_a_malformed_field_are_errors() {
+    for line in [
+        "x y: z",
+        "x\ty: z",
+        "x\x01y: z",
+        "x\x7fy: z",
+        "x\0y: z",
+        "x(y): z",
+        "x\ry: z",
+        "é: z",
+        " x: z",
+        "x : z",
+        ": z",
+        "x",
+        "x: a\x01b",
+        "x: a\0b",
+        "x: a\rb",
+        "x: a\r\n b: c",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 5\r\n\r\nhello{COMPLETE}");
+        let script = vec![Step::Write(text.leak()), Step::Close];
+        let error = run_script(script).expect_err(line);
+        assert!(error.may_have_run && !error.timed_out, "{line}: {error}");
+    }
+}
+
 // Guards against a chunk line without a size that counts as the last chunk.
 #[test]
 fn responses_with_a_malformed_chunk_are_errors() {
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -303,3 +303,53 @@
         assert_eq!(result, Ok(b"body".to_vec()), "{timeout}");
     }
 }
+
+#[test]
+fn an_answer_with_a_malformed_field_is_refused() {
+    let lines: &[&[u8]] = &[
+        b"x y: z",
+        b"x\ty: z",
+        b"x\x01y: z",
+        b"x\x7fy: z",
+        b"x\0y: z",
+        b"x(y): z",
+        b"x\ry: z",
+        b"x\xc3\xa9: z",
+        b"x\xff: z",
+        b" x: z",
+        b"x : z",
+        b"x\t: z",
+        b": z",
+        b"x",
+        b"x: a\x01b",
+        b"x: a\0b",
+        b"x: a\rb",
+        b"x: a\x7fb",
+        b"x: a\r\n b: c",
+    ];
+    let first = b"HTTP/1.1 200 OK\r\n".as_slice();
+    let complete = answer_with("HTTP/1.1 200 OK");
+    let rest = &complete[first.len()..];
+    let (fields, body) = rest.split_once("\r\n\r\n").unwrap();
+    for line in lines {
+        let as_first = [first, line, b"\r\n", rest.as_bytes()].concat();
+        let as_last = [
+            first,
+            fields.as_bytes(),
+            b"\r\n",
+            line,
+            b"\r\n\r\n",
+            body.as_bytes(),
+        ];
+        for answer in [as_first, as_last.concat()] {
+            let text = String::from_utf8_lossy(&answer).into_owned();
+            let addr = worker([answer, complete.clone().into()].concat(), End::HalfClose);
+            let kind = exchange(addr, &request(0)).map_err(|error| error.kind);
+            assert_eq!(
+                kind.err(),
+                Some(ExchangeErrorKind::InvalidAnswer),
+                "{text:?}"
+            );
+        }
+    }
+}
