Read responses in one place that is certain of their end

The lab's client took a 200 without a length for a complete answer with an empty body, also after a reset, and so did it with an unknown transfer coding, with two different lengths, and with an interim answer. The client of the key-value service took the last of two different lengths.

Cause: three clients read responses with `async-h1`, each with checks of its own, and only that of backend servers had all of them. The two others also handed the parser the whole connection: it reads ahead, so that bytes after an answer were lost, or taken for the beginning of the next one.

Fix: src/response.rs holds the checks of src/backend.rs. All three clients use it, on a `Framed` connection, and do not reuse a connection with bytes left over. Bodies of the lab's client are limited to 64 MiB.

--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -11,6 +11,10 @@
     futures::{FutureExt, future::poll_fn},
     http_types::{Method, Request, Response, Url},
     parking_lot::Mutex,
+    shallotdeal::{
+        framed::Framed,
+        response::{self, ResponseError},
+    },
     smol_str::{SmolStr, ToSmolStr},
     socket2::{Domain, Socket, Type},
     std::{net::Ipv4Addr, pin::pin, time::Duration},
@@ -19,6 +23,9 @@
 /// Limit of idle connections kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 512;
 
+/// Largest body of an answer.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// Error of a request without a complete answer.
 #[derive(Debug, Clone)]
 #[derive(Display, Error)]
@@ -108,26 +115,29 @@
 
     /// Sends a request and reads the whole answer. Dropping the future closes the connection.
     pub async fn send(&self, request: Request) -> Result<Answer, ClientError> {
-        let stream = self.connection().await?;
-        let broken = |error: http_types::Error| ClientError::Broken {
-            peer: self.peer,
-            detail: error.to_smolstr(),
+        let framed = Framed::new(self.connection().await?);
+        let broken = |error: ResponseError| match error {
+            ResponseError::Cut {
+                expected_bytes,
+                found_bytes,
+            } => ClientError::Cut {
+                peer: self.peer,
+                want_bytes: expected_bytes,
+                got_bytes: found_bytes,
+            },
+            error => ClientError::Broken {
+                peer: self.peer,
+                detail: error.to_smolstr(),
+            },
         };
-        let mut head = async_h1::connect(stream.clone(), request)
+        let is_head = request.method() == Method::Head;
+        let mut head = response::send(&framed, request).await.map_err(broken)?;
+        let body = response::read_body(&framed, &mut head, is_head, MAX_BODY_BYTES)
             .await
             .map_err(broken)?;
-        let want_bytes = head.len();
-        let body = head.body_bytes().await.map_err(broken)?;
-        if let Some(want_bytes) = want_bytes
-            && body.len() != want_bytes
-        {
-            return Err(ClientError::Cut {
-                peer: self.peer,
-                want_bytes,
-                got_bytes: body.len(),
-            });
+        if response::is_reusable(&framed, &head) {
+            self.return_to_pool(framed.stream().clone());
         }
-        self.return_to_pool(stream, &head);
         Ok(Answer {
             status: head.status().into(),
             head,
@@ -182,12 +192,9 @@
         Ok(stream)
     }
 
-    fn return_to_pool(&self, stream: TcpStream, head: &Response) {
-        let will_close = head
-            .header("connection")
-            .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"));
+    fn return_to_pool(&self, stream: TcpStream) {
         let mut idle = self.idle.lock();
-        if !will_close && idle.len() < MAX_IDLE_CONNECTIONS {
+        if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(stream);
         }
     }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -4,19 +4,16 @@
     crate::{
         call::{Answer, Header, Request},
         framed::Framed,
+        response::{self, ResponseError},
     },
-    async_h1::client,
     async_io::Timer,
     async_std::net::TcpStream,
     async_trait::async_trait,
     derive_more::{Display, Error},
-    futures::{
-        AsyncReadExt,
-        future::{Either, select},
-    },
+    futures::future::{Either, select},
     http_types::{Body, Method, Url, headers},
     parking_lot::Mutex,
-    smol_str::{SmolStr, ToSmolStr, format_smolstr},
+    smol_str::{SmolStr, ToSmolStr},
     std::{io, net::SocketAddr, pin::pin, str::FromStr, time::Duration},
 };
 
@@ -132,66 +129,18 @@
         framed: Framed,
         addr: SocketAddr,
         request: http_types::Request,
-    ) -> Result<Answer, (&'static str, SmolStr)> {
+    ) -> Result<Answer, ResponseError> {
         let is_head = request.method() == Method::Head;
-        let response = client::connect(framed.clone(), request)
-            .await
-            .map_err(|error| ("send request", error.to_smolstr()))?;
-        let is_closing = response
-            .header(headers::CONNECTION)
-            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
-        let answer = self.read_response(&framed, response, is_head).await?;
-        if !is_closing && !framed.has_surplus() {
+        let mut head = response::send(&framed, request).await?;
+        let body = response::read_body(&framed, &mut head, is_head, self.max_body_bytes).await?;
+        if response::is_reusable(&framed, &head) {
             self.keep_idle(addr, framed.stream().clone());
         }
-        Ok(answer)
-    }
-
-    /// Reads a response; fails unless its end is certain.
-    async fn read_response(
-        &self,
-        framed: &Framed,
-        mut response: http_types::Response,
-        is_head: bool,
-    ) -> Result<Answer, (&'static str, SmolStr)> {
-        let status = u16::from(response.status());
-        if status < 200 {
-            return Err(("read answer", "the response is an interim (1xx) one".into()));
-        }
-        let has_body = !is_head && status != 204 && status != 304;
-        let expected_bytes = content_length(&response)?;
-        if has_body && expected_bytes.is_none() && !is_chunked(&response) {
-            return Err((
-                "read answer",
-                "the response has neither a content length nor chunked encoding".into(),
-            ));
-        }
-        let mut body = Vec::new();
-        if has_body {
-            framed.expect_body(expected_bytes.map(|expected| expected as u64));
-            let limit_bytes = self.max_body_bytes as u64 + 1;
-            let mut reader = response.take_body().take(limit_bytes);
-            reader
-                .read_to_end(&mut body)
-                .await
-                .map_err(|error| ("read answer", error.to_smolstr()))?;
-        }
-        if body.len() > self.max_body_bytes {
-            return Err(("read answer", "the response body is too large".into()));
-        }
-        match expected_bytes {
-            Some(expected) if has_body && expected != body.len() => {
-                let found = body.len();
-                let detail =
-                    format_smolstr!("response body ended after {found} of {expected} bytes");
-                Err(("read answer", detail))
-            }
-            _ => Ok(Answer {
-                status,
-                headers: end_to_end(&response),
-                body,
-            }),
-        }
+        Ok(Answer {
+            status: head.status().into(),
+            headers: end_to_end(&head),
+            body,
+        })
     }
 }
 
@@ -221,8 +170,10 @@
         let timer = Timer::after(Duration::from_micros(context.remaining_us));
         match select(exchange, timer).await {
             Either::Left((Ok(answer), _)) => Ok(answer),
-            Either::Left((Err((step, detail)), _)) => {
-                Err(error(step, detail, framed.write_attempted(), false))
+            Either::Left((Err(failure), _)) => {
+                let may_have_run = framed.write_attempted();
+                let detail = failure.to_smolstr();
+                Err(error(failure.step(), detail, may_have_run, false))
             }
             Either::Right(_) => {
                 let may_have_run = framed.write_attempted();
@@ -252,31 +203,6 @@
     futures::poll!(pin!(stream.peek(&mut byte))).is_pending()
 }
 
-/// Returns the content length; fails if it is invalid or several lengths differ.
-fn content_length(
-    response: &http_types::Response,
-) -> Result<Option<usize>, (&'static str, SmolStr)> {
-    let Some(lengths) = response.header(headers::CONTENT_LENGTH) else {
-        return Ok(None);
-    };
-    let length = lengths.last().as_str();
-    let is_single = lengths.iter().all(|other| other.as_str() == length);
-    match length.parse() {
-        Ok(length_bytes) if is_single => Ok(Some(length_bytes)),
-        _ => Err((
-            "read answer",
-            "the content length is invalid or ambiguous".into(),
-        )),
-    }
-}
-
-fn is_chunked(response: &http_types::Response) -> bool {
-    let codings = response.header(headers::TRANSFER_ENCODING);
-    codings.is_some_and(|codings| {
-        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked")
-    })
-}
-
 fn to_http(
     addr: SocketAddr,
     request: &Request,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod platform;
 pub mod policy;
 pub mod request;
+pub mod response;
 pub mod rpc;
 pub mod serve;
 pub mod settings;
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -1,14 +1,18 @@
 //! Client of the platform's key-value service over HTTP/1.1.
 
 use {
-    crate::store::{
-        Entry, LeaseId, Store, StoreError, Swap, Version,
-        wire::{Answer, Call, Item, PATH},
+    crate::{
+        framed::Framed,
+        response,
+        store::{
+            Entry, LeaseId, Store, StoreError, Swap, Version,
+            wire::{Answer, Call, Item, PATH},
+        },
     },
-    async_std::{future::timeout, io::ReadExt, net::TcpStream},
+    async_std::{future::timeout, net::TcpStream},
     async_trait::async_trait,
     futures::FutureExt,
-    http_types::{Body, Method, Request, Response, StatusCode, Url, headers::CONTENT_TYPE},
+    http_types::{Body, Method, Request, StatusCode, Url, headers::CONTENT_TYPE},
     parking_lot::Mutex,
     smol_str::{SmolStr, ToSmolStr, format_smolstr},
     std::{fmt::Display, future::Future, net::SocketAddr, time::Duration},
@@ -21,7 +25,7 @@
 /// Largest number of idle connections kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Largest response body that is read.
-const MAX_RESPONSE_BYTES: u64 = 4 << 20;
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// [`Store`] over the platform's HTTP protocol.
 #[derive(Debug)]
@@ -61,16 +65,18 @@
 
     async fn exchange(&self, call: &Call, head_timeout_ms: u32) -> Result<Answer, ExchangeError> {
         let request = self.request(call).map_err(ExchangeError::NoEffect)?;
-        let stream = self.connection().await?;
-        let exchange = async_h1::connect(stream.clone(), request);
-        let mut response = with_timeout(head_timeout_ms, exchange)
+        let framed = Framed::new(self.connection().await?);
+        let mut head = with_timeout(head_timeout_ms, response::send(&framed, request))
             .await
             .map_err(ExchangeError::MaybeApplied)?;
-        let body = with_timeout(RESPONSE_TIMEOUT_MS, read_body(&mut response))
+        let reading = response::read_body(&framed, &mut head, false, MAX_RESPONSE_BYTES);
+        let body = with_timeout(RESPONSE_TIMEOUT_MS, reading)
             .await
             .map_err(ExchangeError::MaybeApplied)?;
-        self.keep_idle(stream, &response);
-        parse_answer(response.status(), &body)
+        if response::is_reusable(&framed, &head) {
+            self.keep_idle(framed.stream().clone());
+        }
+        parse_answer(head.status(), &body)
     }
 
     fn request(&self, call: &Call) -> Result<Request, SmolStr> {
@@ -100,12 +106,9 @@
         self.idle.lock().pop()
     }
 
-    fn keep_idle(&self, stream: TcpStream, response: &Response) {
-        let closes = response
-            .header("connection")
-            .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
+    fn keep_idle(&self, stream: TcpStream) {
         let mut idle = self.idle.lock();
-        if !closes && idle.len() < MAX_IDLE_CONNECTIONS {
+        if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(stream);
         }
     }
@@ -247,26 +250,6 @@
     }
 }
 
-/// Reads the body of a response and checks its length against `Content-Length`.
-async fn read_body(response: &mut Response) -> Result<Vec<u8>, SmolStr> {
-    let content_length = response.len().map(|len| len as u64);
-    let mut body = Vec::new();
-    response
-        .take_body()
-        .take(MAX_RESPONSE_BYTES)
-        .read_to_end(&mut body)
-        .await
-        .map_err(to_text)?;
-    match content_length {
-        Some(len_bytes) if len_bytes == body.len() as u64 => Ok(body),
-        Some(len_bytes) => Err(format_smolstr!(
-            "received {} of {len_bytes} bytes",
-            body.len()
-        )),
-        None => Err(SmolStr::new_static("the response has no Content-Length")),
-    }
-}
-
 fn parse_answer(status: StatusCode, body: &[u8]) -> Result<Answer, ExchangeError> {
     if status.is_success() {
         return serde_json::from_slice(body)
