Limit a head without line ends in the clients that use async-h1

Reported by other operators: a faulty worker sent bytes that were no answer, without end, until the caller closed, and the machine that had called it kept them all.

Cause: `async-h1` checks the length of a head only at each line end, so that bytes without one were buffered until the deadline. Seen here in the client of src/backend.rs (67 MB taken of a server that stops there); callers' heads are read in the same way.

Fix: `Framed`, which knows the length of the head, ends the input with an error at 64 KiB, the limit of the worker pool.

Evidence: tests/backend.rs has a server that repeats noise, fields, interim answers, an unframed, a long or a chunked body, chunks of one byte, the size of a chunk or trailers until the client closes. Noise failed before and passes now; the other ten were given up early before.

--- a/src/framed.rs
+++ b/src/framed.rs
@@ -5,11 +5,12 @@
 //! for the next message.
 
 use {
-    crate::chunks::{ChunkPosition, MalformedChunk},
+    crate::chunks::ChunkPosition,
     async_std::net::TcpStream,
     futures::{AsyncRead, AsyncWrite, ready},
     parking_lot::Mutex,
     std::{
+        error::Error,
         io,
         pin::Pin,
         sync::Arc,
@@ -20,6 +21,9 @@
 /// Maximum number of bytes read at once while a head is expected.
 const READ_BYTES: usize = 4_096;
 
+/// Largest head of a message. The parser itself checks the length of a head only at its line ends.
+const MAX_HEAD_BYTES: u64 = 64 * 1_024;
+
 /// Part of a message that the parser may read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Part {
@@ -122,14 +126,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if a chunked body is malformed.
-    fn read_buffered(&mut self, out: &mut [u8]) -> Result<usize, MalformedChunk> {
+    /// Fails if the head is too large or a chunked body is malformed.
+    fn read_buffered(&mut self, out: &mut [u8]) -> io::Result<usize> {
         let available_bytes = self.buffered.len().min(out.len());
         let read_bytes = match &mut self.part {
             Part::Head => self.head_length(available_bytes),
             Part::Body(left) => available_bytes.min(*left as usize),
-            Part::Chunked(position) => position.advance(&self.buffered[..available_bytes])?,
+            Part::Chunked(position) => position
+                .advance(&self.buffered[..available_bytes])
+                .map_err(invalid_data)?,
         };
+        if self.head_bytes > MAX_HEAD_BYTES {
+            return Err(invalid_data("head too large"));
+        }
         out[..read_bytes].copy_from_slice(&self.buffered[..read_bytes]);
         self.buffered.drain(..read_bytes);
         if self.buffered.is_empty() {
@@ -192,7 +201,7 @@
         let shared = Arc::clone(&self.state);
         let mut state = shared.lock();
         if !state.buffered.is_empty() || state.is_at_end() {
-            return Poll::Ready(state.read_buffered(out).map_err(invalid_data));
+            return Poll::Ready(state.read_buffered(out));
         }
         if let Some(max_bytes) = state.direct_bytes() {
             let size_bytes = max_bytes.min(out.len());
@@ -205,11 +214,11 @@
         let reading = Pin::new(&mut self.stream).poll_read(cx, &mut bytes);
         let read_bytes = ready!(reading)?;
         state.buffered.extend_from_slice(&bytes[..read_bytes]);
-        Poll::Ready(state.read_buffered(out).map_err(invalid_data))
+        Poll::Ready(state.read_buffered(out))
     }
 }
 
-fn invalid_data(error: MalformedChunk) -> io::Error {
+fn invalid_data(error: impl Into<Box<dyn Error + Send + Sync>>) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
 
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -408,3 +408,69 @@
     assert_eq!((error.step, error.may_have_run), ("connect", false));
     assert!(!task::block_on(backend.is_listening(addr)));
 }
+
+/// Bytes that the kernel and the client may take of an endless answer before it is given up.
+const MAX_ENDLESS_BYTES: usize = 32 << 20;
+
+/// Serves one connection: writes a beginning and then the same text again until the client closes.
+/// The receiver gets the number of bytes written.
+fn endless_server(first: &'static str, repeated: &'static str) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (sender, written) = channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_request(&mut stream);
+        let mut written_bytes = first.len();
+        let mut is_open = stream.write_all(first.as_bytes()).is_ok();
+        while is_open && written_bytes < 2 * MAX_ENDLESS_BYTES {
+            written_bytes += repeated.len();
+            is_open = stream.write_all(repeated.as_bytes()).is_ok();
+        }
+        let _ = sender.send(written_bytes);
+    });
+    (addr, written)
+}
+
+// Guards against a server that fills the memory of the daemon with bytes that are no answer.
+#[test]
+fn endless_responses_are_given_up_early() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let noise: &str = "x".repeat(60_000).leak();
+    let lines: &str = "a: b\r\n".repeat(10_000).leak();
+    let chunk: &str = format!("ea60\r\n{noise}\r\n").leak();
+    let tiny_chunks: &str = "1\r\nx\r\n".repeat(10_000).leak();
+    let interim: &str = "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000).leak();
+    for (first, repeated) in [
+        ("", noise),
+        (HEAD, lines),
+        (HEAD, noise),
+        ("", interim),
+        ("HTTP/1.1 200 OK\r\n\r\n", noise),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551615\r\n\r\n",
+            noise,
+        ),
+        (CHUNKED, noise),
+        (CHUNKED, chunk),
+        (CHUNKED, tiny_chunks),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+            noise,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            lines,
+        ),
+    ] {
+        let (addr, written) = endless_server(first, repeated);
+        let error = run(&HttpBackend::new(MAX_BODY_BYTES), addr, "POST").expect_err(first);
+        assert!(error.may_have_run && !error.timed_out, "{first}: {error}");
+        let written_bytes = written.recv().unwrap();
+        assert!(
+            written_bytes < MAX_ENDLESS_BYTES,
+            "{first}: {written_bytes}"
+        );
+    }
+}
