Give the decoder of async-h1 complete trailers only

Callers saw: a backend server that sent trailers without end and without a line end held its call until the deadline, though the answer could not become valid. An answer that ended within its trailers counted as complete.

Cause: the decoder reports that it waits, without asking for more, when it has a part of the trailers, and takes an end of the stream before any trailer byte for the end of the body.

Fix: `Framed` keeps the trailers until their last byte has arrived, up to 4 KiB, and ends the input with an error if the stream ends within a chunked body.

--- a/src/chunks.rs
+++ b/src/chunks.rs
@@ -5,8 +5,8 @@
 /// Longest line with the size of a chunk, including extensions.
 const MAX_SIZE_LINE_BYTES: usize = 4_096;
 
-/// Largest trailer section.
-const MAX_TRAILER_BYTES: usize = 16 * 1_024;
+/// Largest trailer section; the decoder of `async-h1` takes up to 8 KiB.
+const MAX_TRAILER_BYTES: usize = 4_096;
 
 /// Length of the line end after the data of a chunk.
 const LINE_END_BYTES: u64 = 2;
@@ -51,7 +51,8 @@
         self.part == Part::End
     }
 
-    /// Moves over received bytes, and returns how many of them belong to the body.
+    /// Moves over received bytes, and returns how many of them belong to the body. Stays at the
+    /// beginning of the trailers until all of them have been received.
     ///
     /// # Errors
     ///
@@ -72,6 +73,11 @@
                 count += 1;
             }
         }
+        if let Part::Trailers(_) = self.part {
+            count -= self.read_bytes;
+            self.part = Part::Trailers(true);
+            self.read_bytes = 0;
+        }
         Ok(count)
     }
 
--- a/src/framed.rs
+++ b/src/framed.rs
@@ -175,6 +175,18 @@
         }
     }
 
+    /// End of the input at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails within a chunked body, whose trailers the parser may not have seen.
+    fn end_of_stream(&self) -> io::Result<usize> {
+        match self.part {
+            Part::Chunked(_) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Part::Head | Part::Body(_) => Ok(0),
+        }
+    }
+
     /// Counts bytes read of the body.
     fn advance(&mut self, read_bytes: usize) {
         if let Part::Body(left) = &mut self.part {
@@ -200,21 +212,27 @@
     ) -> Poll<io::Result<usize>> {
         let shared = Arc::clone(&self.state);
         let mut state = shared.lock();
-        if !state.buffered.is_empty() || state.is_at_end() {
-            return Poll::Ready(state.read_buffered(out));
-        }
-        if let Some(max_bytes) = state.direct_bytes() {
-            let size_bytes = max_bytes.min(out.len());
-            let reading = Pin::new(&mut self.stream).poll_read(cx, &mut out[..size_bytes]);
+        loop {
+            if !state.buffered.is_empty() || state.is_at_end() {
+                let read_bytes = state.read_buffered(out)?;
+                if read_bytes > 0 || out.is_empty() || state.is_at_end() {
+                    return Poll::Ready(Ok(read_bytes));
+                }
+            } else if let Some(max_bytes) = state.direct_bytes() {
+                let size_bytes = max_bytes.min(out.len());
+                let reading = Pin::new(&mut self.stream).poll_read(cx, &mut out[..size_bytes]);
+                let read_bytes = ready!(reading)?;
+                state.advance(read_bytes);
+                return Poll::Ready(Ok(read_bytes));
+            }
+            let mut bytes = [0; READ_BYTES];
+            let reading = Pin::new(&mut self.stream).poll_read(cx, &mut bytes);
             let read_bytes = ready!(reading)?;
-            state.advance(read_bytes);
-            return Poll::Ready(Ok(read_bytes));
+            if read_bytes == 0 {
+                return Poll::Ready(state.end_of_stream());
+            }
+            state.buffered.extend_from_slice(&bytes[..read_bytes]);
         }
-        let mut bytes = [0; READ_BYTES];
-        let reading = Pin::new(&mut self.stream).poll_read(cx, &mut bytes);
-        let read_bytes = ready!(reading)?;
-        state.buffered.extend_from_slice(&bytes[..read_bytes]);
-        Poll::Ready(state.read_buffered(out))
     }
 }
 
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -26,6 +26,8 @@
 enum Step {
     /// Writes this text.
     Write(&'static str),
+    /// Waits until what was written has arrived.
+    Pause,
     /// Waits until the client closes the connection.
     Stall,
     /// Closes the connection.
@@ -50,6 +52,7 @@
                 match step {
                     Step::Write(text) => stream.write_all(text.as_bytes()).unwrap(),
                     Step::Stall => while stream.read(&mut bytes).is_ok_and(|read| read > 0) {},
+                    Step::Pause => thread::sleep(Duration::from_millis(50)),
                     Step::Close => break,
                     Step::Next => {
                         let _ = sender.send(read_request(&mut stream));
@@ -237,6 +240,35 @@
     }
 }
 
+#[test]
+fn trailers_in_several_pieces_are_read() {
+    let (addr, _) = server(vec![vec![
+        Step::Write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx: "),
+        Step::Pause,
+        Step::Write("y\r"),
+        Step::Pause,
+        Step::Write("\n\r"),
+        Step::Pause,
+        Step::Write("\n"),
+        Step::Stall,
+    ]]);
+    let backend = HttpBackend::new(MAX_BODY_BYTES);
+    assert_eq!(run(&backend, addr, "POST").unwrap().body, b"hello");
+}
+
+#[test]
+fn responses_that_end_within_the_trailers_are_errors() {
+    for trailers in ["", "x: y\r\n", "x: ", "\r"] {
+        let text = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n{trailers}");
+        let script = vec![Step::Write(text.leak()), Step::Close];
+        let error = run_script(script).expect_err(trailers);
+        assert!(
+            error.may_have_run && !error.timed_out,
+            "{trailers}: {error}"
+        );
+    }
+}
+
 #[test]
 fn bytes_after_the_last_chunk_are_not_taken_for_the_next_response() {
     let chunked =
@@ -463,6 +495,10 @@
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
             lines,
         ),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            noise,
+        ),
     ] {
         let (addr, written) = endless_server(first, repeated);
         let error = run(&HttpBackend::new(MAX_BODY_BYTES), addr, "POST").expect_err(first);
