Test unusual entries in the store, and endless answers of it

Both cases were handled before; nothing but tests is added. A daemon that restarts beside entries with each number of an entry unusual, ports out of range, 200,000 levels of nesting, no UTF-8 and no object becomes ready, follows the configuration and serves. The store's client gives up nine kinds of endless answers at its limits.

--- a/tests/mesh/odd_input.rs
+++ b/tests/mesh/odd_input.rs
@@ -3,7 +3,7 @@
 use {
     crate::harness::{Client, Fleet, config, eventually, run},
     serde_json::{Value, json},
-    shallotdeal::mesh::{conn::Conn, http, runtime::within},
+    shallotdeal::mesh::{conn::Conn, entry, http, runtime::within},
 };
 
 /// Levels of a deeply nested value, far more than a recursive decoder bears.
@@ -213,3 +213,47 @@
         }
     });
 }
+
+#[test]
+fn a_daemon_starts_and_follows_the_configuration_beside_unusual_entries() {
+    run(async {
+        let mut fleet = Fleet::start(2).await;
+        let key = entry::key("vm-1");
+        eventually("entry", || fleet.store.entry(&key).is_some()).await;
+        let usual: Value = serde_json::from_str(&fleet.store.entry(&key).unwrap()).unwrap();
+        let mut odd: Vec<Vec<u8>> = Vec::new();
+        odd.extend(unreadable(NESTED_LEVELS).into_iter().map(|(_, text)| text));
+        for pointer in pointers(&usual, "") {
+            let variants = variants(&usual, &pointer);
+            odd.extend(variants.map(|(_, variant)| variant.to_string().into_bytes()));
+        }
+        for port in ["0", "65536", "-1", "99999999999999999999", ""] {
+            let addr = fleet.vms[1].mesh.settings.calls_addr.to_string();
+            let odd_addr = format!("127.0.0.1:{port}");
+            odd.push(usual.to_string().replace(&addr, &odd_addr).into_bytes());
+        }
+        let mut nested = usual.to_string();
+        let deep = "[".repeat(NESTED_LEVELS) + &"]".repeat(NESTED_LEVELS);
+        nested.insert_str(nested.len() - 1, &format!(r#","deep":{deep}"#));
+        odd.push(nested.into_bytes());
+        // Before and after all usual entries, and in place of that of the daemon itself.
+        for (index, value) in odd.iter().enumerate() {
+            let position = ["0", "f"][index % 2];
+            let key = format!("{}{}-odd-{index}", entry::PREFIX, position.repeat(16));
+            fleet.store.write(&key, value, 0);
+        }
+        let own = usual.to_string().replace("vm-1", "vm-0");
+        fleet.store.write(&entry::key("vm-0"), own.as_bytes(), 0);
+        fleet.restart(0);
+        fleet.vms[0].report(false);
+        fleet.write_config(7);
+        eventually("readiness and configuration", || {
+            let mesh = &fleet.vms[0].mesh;
+            mesh.is_ready() && mesh.config_version().0 == 7
+        })
+        .await;
+        let response = fleet.request("GET", "/read/x", "id").await;
+        assert_eq!(response.head.status, 200);
+        assert!(fleet.vms[0].mesh.metrics.get("store.bad_entry") > 0);
+    });
+}
--- a/tests/wire_store.rs
+++ b/tests/wire_store.rs
@@ -295,3 +295,33 @@
         assert!(error.to_string().starts_with("write entry: "), "{error}");
     });
 }
+
+/// Length of an endless answer, far more than the client takes.
+const ENDLESS_BYTES: usize = 64 << 20;
+
+#[test]
+fn an_endless_answer_is_given_up() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let noise = "x".repeat(60_000);
+    for (first, repeated) in [
+        ("", noise.clone()),
+        (head, noise.clone()),
+        (head, "a: b\r\n".repeat(10_000)),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+        ("HTTP/1.1 200 OK\r\n\r\n", noise.clone()),
+        (chunked, format!("ea60\r\n{noise}\r\n")),
+        (chunked, "1\r\nx\r\n".repeat(10_000)),
+        (&format!("{chunked}1;"), noise.clone()),
+        (&format!("{chunked}0\r\n"), "a: b\r\n".repeat(10_000)),
+    ] {
+        let answer = [first, &repeated.repeat(ENDLESS_BYTES / repeated.len())].concat();
+        let renewed = call_with(answer.into(), async |store| store.renew(LeaseId(1)).await);
+        let Err(StoreError::Uncertain { detail, .. }) = renewed else {
+            panic!("{first}: an answer");
+        };
+        // Not the end of the stream, which comes after all of the answer.
+        let is_limit = detail.ends_with("too large") || detail == "malformed message";
+        assert!(is_limit, "{first}: {detail}");
+    }
+}
