Accept requests for half of a short grace time at most after SIGTERM

Reported by other operators: in a planned stop, requests that came late in the grace time were taken and passed on, and cut without an answer at its end, orders among them.

Cause, as seen here: a stopping daemon accepted requests for 2.5 s whatever the grace time, and kept 1 s of it for its exit. With a grace time of 2 s it took requests up to the moment of its exit, and with 1 s it exited at once. The deployments so far have 6 and 10 s, where late requests were refused before.

Fix: requests are accepted for 2.5 s, or for half of the time in which they may finish if that is shorter; the reserve for the exit is a sixth of the grace time, 1 s at most. With 6 s and more nothing changes.

Evidence: tests/mesh/planned.rs sends an order each 20 ms during a shutdown with 1.5, 3 and 6 s. The shutdown is a function of its own for this, without the signal.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -33,9 +33,6 @@
 /// Interval of the gate's ticks, and of the check for the end of the shutdown.
 const GATE_TICK_MS: u64 = 20;
 
-/// Part of the grace period reserved for the exit of the process, which takes time on a slow VM.
-const GRACE_RESERVE_MS: u64 = 1_000;
-
 /// Interval of the log lines about the daemon's load and about dropped log lines.
 const LOAD_INTERVAL_MS: u64 = 2_000;
 
@@ -184,8 +181,7 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT, then stops the daemon and waits until all requests have finished or
-/// the grace period ends.
+/// Waits for SIGTERM or SIGINT, and then shuts the daemon down.
 async fn stop(mesh: &Rc<Mesh>, signals: async_channel::Receiver<i32>) {
     loop {
         match signals.recv().await {
@@ -200,9 +196,15 @@
             }
         }
     }
+    shut_down(mesh).await;
+}
+
+/// Stops the daemon and waits until all requests have finished or the grace period ends.
+pub async fn shut_down(mesh: &Rc<Mesh>) {
     let started_us = now_us();
     mesh.stop(started_us);
-    let grace_end_us = started_us + mesh.settings.grace_ms.saturating_sub(GRACE_RESERVE_MS) * 1_000;
+    let grace_end_us =
+        started_us.saturating_add(mesh.settings.usable_grace_ms().saturating_mul(1_000));
     loop {
         let now_us = now_us();
         let is_idle = mesh.outstanding() == 0 && !mesh.accepts_requests(now_us);
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -76,10 +76,14 @@
     tokio::net::UdpSocket,
 };
 
-/// Time after SIGTERM during which clients' requests are still accepted. The platform needs two
-/// readiness probes, one second apart, to detect that the daemon is not ready; clients send
+/// Longest time after SIGTERM during which clients' requests are still accepted. The platform needs
+/// two readiness probes, one second apart, to detect that the daemon is not ready; clients send
 /// requests until then.
-const ACCEPT_AFTER_STOP_MS: u64 = 2_500;
+const ACCEPT_AFTER_STOP_MAX_MS: u64 = 2_500;
+
+/// Part of a short grace time during which requests are accepted, as a divisor. The rest is for
+/// their answers.
+const ACCEPT_AFTER_STOP_DIVISOR: u64 = 2;
 
 /// State of one daemon.
 pub struct Mesh {
@@ -251,9 +255,10 @@
     /// Returns whether new client requests are accepted. A stopping daemon accepts them for a short
     /// time and then refuses them, as it may exit before it can answer.
     pub fn accepts_requests(&self, now_us: u64) -> bool {
+        let share_ms = self.settings.usable_grace_ms() / ACCEPT_AFTER_STOP_DIVISOR;
+        let accept_us = share_ms.min(ACCEPT_AFTER_STOP_MAX_MS) * 1_000;
         let since_us = self.stopping_since_us.get();
-        since_us
-            .is_none_or(|since_us| now_us.saturating_sub(since_us) < ACCEPT_AFTER_STOP_MS * 1_000)
+        since_us.is_none_or(|since_us| now_us.saturating_sub(since_us) < accept_us)
     }
 
     /// Starts the shutdown: the gate stops accepting requests, and those in flight continue.
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -26,6 +26,13 @@
     Ini::load_from_str(text).is_ok_and(|ini| ini.section(Some(SECTION)).is_some())
 }
 
+/// Longest part of the grace time reserved for the exit of the process, which takes time on a slow
+/// VM.
+const GRACE_RESERVE_MAX_MS: u64 = 1_000;
+
+/// Part of a short grace time reserved for the exit, as a divisor.
+const GRACE_RESERVE_DIVISOR: u64 = 6;
+
 /// Validated settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MeshSettings {
@@ -63,6 +70,14 @@
     pub log_level: tracing::Level,
 }
 
+impl MeshSettings {
+    /// Part of the grace time in which requests may finish.
+    pub fn usable_grace_ms(&self) -> u64 {
+        let reserve_ms = (self.grace_ms / GRACE_RESERVE_DIVISOR).min(GRACE_RESERVE_MAX_MS);
+        self.grace_ms - reserve_ms
+    }
+}
+
 impl TryFrom<&str> for MeshSettings {
     type Error = SettingsErrors;
 
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -765,9 +765,16 @@
 impl Fleet {
     /// Starts VMs of the service `shop` and waits until they have discovered each other.
     pub(crate) async fn start(count: usize) -> Self {
+        Self::start_with_grace(count, 6_000).await
+    }
+
+    /// Starts VMs as [`Fleet::start`] does, with this time between SIGTERM and SIGKILL.
+    pub(crate) async fn start_with_grace(count: usize, grace_ms: u64) -> Self {
         let store = Rc::new(TestStore::default());
         store.write(CONFIG_KEY, config(1, 1_500).as_bytes(), 0);
-        let vms: Vec<Vm> = (0..count).map(|index| start(index, &store)).collect();
+        let vms: Vec<Vm> = (0..count)
+            .map(|index| start(index, &store, grace_ms))
+            .collect();
         let fleet = Self {
             store,
             vms,
@@ -826,7 +833,7 @@
     }
 }
 
-fn start(index: usize, store: &Rc<TestStore>) -> Vm {
+fn start(index: usize, store: &Rc<TestStore>, grace_ms: u64) -> Vm {
     let worker = Worker::start(&format!("w{index}"));
     let settings = MeshSettings {
         name: format!("vm-{index}").into(),
@@ -841,7 +848,7 @@
         service: "shop".into(),
         store_addr: free_addr(),
         lease_min_ms: 1_000,
-        grace_ms: 6_000,
+        grace_ms,
         retry_budget: RetryBudgetRules {
             ratio: 0.2,
             window_us: 10_000_000,
--- a/tests/mesh/planned.rs
+++ b/tests/mesh/planned.rs
@@ -3,6 +3,7 @@
 use {
     crate::harness::{Behaviour, Client, Fleet, config, eventually, run},
     shallotdeal::mesh::{
+        daemon,
         entry::{self, Entry},
         frame::WorkerIncarnation,
         runtime::{now_us, sleep_ms, spawn},
@@ -64,6 +65,41 @@
     });
 }
 
+// Guards against requests that are accepted so late that the daemon ends before their answers.
+#[test]
+fn a_stopping_daemon_answers_each_request_that_it_accepts() {
+    for grace_ms in [1_500, 3_000, 6_000] {
+        run(async {
+            let fleet = Rc::new(Fleet::start_with_grace(2, grace_ms).await);
+            fleet.set_behaviour(Behaviour::Answer { after_ms: 100 });
+            let mesh = Rc::clone(&fleet.vms[0].mesh);
+            let stopped = spawn(async move {
+                daemon::shut_down(&mesh).await;
+                // The process ends now.
+                mesh.outstanding()
+            });
+            let mut requests = Vec::new();
+            while !stopped.is_finished() {
+                let fleet = Rc::clone(&fleet);
+                let id = format!("id-{}", requests.len());
+                let asking = async move { fleet.request("POST", "/order/x", &id).await };
+                requests.push(spawn(asking));
+                sleep_ms(20).await;
+            }
+            assert_eq!(stopped.await, 0, "grace of {grace_ms} ms");
+            let mut statuses = Vec::new();
+            for request in requests {
+                statuses.push(request.await.head.status);
+            }
+            let count = |wanted| statuses.iter().filter(|status| **status == wanted).count();
+            let (answered, refused) = (count(200), count(503));
+            assert!(answered > 0 && refused > 0, "{statuses:?}");
+            assert_eq!(answered + refused, statuses.len(), "{statuses:?}");
+            assert_eq!(fleet.received_requests(), answered, "{statuses:?}");
+        });
+    }
+}
+
 #[test]
 fn an_older_or_malformed_configuration_is_ignored() {
     run(async {
