Answer open requests when the grace time ends

Reported by other operators: at the end of the grace time of a planned stop, requests were cut with no answer. Here it happened to each request that outlasted the time.

Cause: the daemon ended with its requests open, and the system closed their connections.

Fix: requests that are still open when the time for them ends are given up and answered 502: they may have run.

Evidence: tests/mesh/planned.rs, an order that a worker runs for 2.8 s and a grace time of 1.5 s. Before, the order was open when the daemon ended; now it is answered 502.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -209,16 +209,21 @@
         let now_us = now_us();
         let is_idle = mesh.outstanding() == 0 && !mesh.accepts_requests(now_us);
         if is_idle || now_us >= grace_end_us {
-            tracing::info!(
-                in_hand = mesh.outstanding(),
-                clients = mesh.clients.get(),
-                "stopped"
-            );
-            mesh.leave_fleet(now_us);
-            return;
+            break;
         }
         sleep_ms(GATE_TICK_MS).await;
     }
+    tracing::info!(
+        in_hand = mesh.outstanding(),
+        clients = mesh.clients.get(),
+        "stopped"
+    );
+    if mesh.in_progress.get() > 0 {
+        mesh.give_up_requests();
+        // Time to write the answers.
+        sleep_ms(GATE_TICK_MS).await;
+    }
+    mesh.leave_fleet(now_us());
 }
 
 /// Logs changes of the settings file. The running process keeps its settings; changes take effect
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -17,9 +17,10 @@
         policy::suspect::Fingerprint,
         request::{Importance, Outcome, Reason, Refusal, ServiceName},
     },
+    futures::future::{Either, select},
     rand::RngExt,
     smol_str::{SmolStr, format_smolstr},
-    std::rc::Rc,
+    std::{pin::pin, rc::Rc},
 };
 
 /// Request as received.
@@ -119,7 +120,7 @@
         let result = match refused {
             Some(refusal) => Err(refusal),
             None => {
-                self.forward_with_token(&request, &inbound, &mut history)
+                self.forward_until_end(&request, &inbound, &mut history)
                     .await
             }
         };
@@ -127,6 +128,22 @@
         self.finish_request(&request, &history, result)
     }
 
+    /// Forwards a request, and gives it up when the daemon ends.
+    async fn forward_until_end(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        inbound: &Inbound,
+        history: &mut SendHistory,
+    ) -> Result<Answer, Refusal> {
+        let ending = self.ending.listen();
+        let forwarded = pin!(self.forward_with_token(request, inbound, history));
+        match select(forwarded, ending).await {
+            Either::Left((result, _)) => result,
+            // An open send may have reached a worker.
+            Either::Right(_) => Err(Refusal::unknown(Reason::Draining)),
+        }
+    }
+
     /// Forwards a request that its organisation's quota admits.
     async fn forward_with_token(
         self: &Rc<Self>,
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -54,6 +54,7 @@
     },
     crash::CrashTracker,
     directory::Directory,
+    event_listener::Event,
     frame::Message,
     gate::LocalGate,
     latency::Latencies,
@@ -138,6 +139,8 @@
     /// Client requests that have not been answered yet.
     pub in_progress: Cell<usize>,
     stopping_since_us: Cell<Option<u64>>,
+    /// Notified when the daemon ends and open requests are given up.
+    ending: Event,
 }
 
 /// Origin of a configuration document.
@@ -230,6 +233,7 @@
             clients: Cell::new(0),
             in_progress: Cell::new(0),
             stopping_since_us: Cell::new(None),
+            ending: Event::new(),
         })
     }
 
@@ -269,6 +273,11 @@
         self.publish();
     }
 
+    /// Gives up all open client requests; they are answered at once.
+    pub fn give_up_requests(&self) {
+        self.ending.notify(usize::MAX);
+    }
+
     /// Number of client requests in progress and of requests running or queued at the gate.
     pub fn outstanding(&self) -> usize {
         self.in_progress.get() + self.gate.borrow().outstanding()
--- a/tests/mesh/planned.rs
+++ b/tests/mesh/planned.rs
@@ -100,6 +100,26 @@
     }
 }
 
+#[test]
+fn a_stopping_daemon_answers_requests_that_outlast_the_grace_time() {
+    run(async {
+        let fleet = Rc::new(Fleet::start_with_grace(2, 1_500).await);
+        fleet
+            .store
+            .write("op/config", config(2, 10_000).as_bytes(), 0);
+        let mesh = Rc::clone(&fleet.vms[0].mesh);
+        eventually("longer timeout", || mesh.config_version().0 == 2).await;
+        fleet.set_behaviour(Behaviour::Answer { after_ms: 2_800 });
+        let asking = Rc::clone(&fleet);
+        let request = spawn(async move { asking.request("POST", "/order/x", "id").await });
+        eventually("request at a worker", || fleet.received_requests() == 1).await;
+        daemon::shut_down(&mesh).await;
+        assert_eq!(mesh.outstanding(), 0);
+        // It may have run.
+        assert_eq!(request.await.head.status, 502);
+    });
+}
+
 #[test]
 fn an_older_or_malformed_configuration_is_ignored() {
     run(async {
