--- a/src/mesh/conn.rs
+++ b/src/mesh/conn.rs
@@ -120,8 +120,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails. The system reports a failure only once; if a write has taken
-    /// the report, the stream ends with an error here too.
+    /// Fails if the connection fails. The system reports a failure to one call only; if that was a
+    /// write, the stream ends with an error here too.
     pub async fn fill(&mut self) -> io::Result<usize> {
         let count = poll_fn(|context| {
             SCRATCH.with_borrow_mut(|scratch| {
