--- a/tests/mesh/odd_input.rs
+++ b/tests/mesh/odd_input.rs
@@ -3,7 +3,11 @@
 use {
     crate::harness::{Client, Fleet, config, eventually, run},
     serde_json::{Value, json},
-    shallotdeal::mesh::{conn::Conn, entry, http, runtime::within},
+    shallotdeal::mesh::{
+        conn::Conn,
+        entry, http,
+        runtime::{sleep_ms, within},
+    },
 };
 
 /// Levels of a deeply nested value, far more than a recursive decoder bears.
@@ -12,6 +16,9 @@
 /// Levels in a report, whose length is limited.
 const NESTED_REPORT_LEVELS: usize = 10_000;
 
+/// Time in which probes find out whether a member is alive.
+const PROBES_MS: u64 = 5_000;
+
 /// Wait for an answer under an unusual configuration.
 const ODD_ANSWER_MS: u64 = 100;
 
@@ -255,5 +262,13 @@
         let response = fleet.request("GET", "/read/x", "id").await;
         assert_eq!(response.head.status, 200);
         assert!(fleet.vms[0].mesh.metrics.get("store.bad_entry") > 0);
+        // The other daemon is still reached, after the probes of the odd members have failed.
+        sleep_ms(PROBES_MS).await;
+        fleet.vms[0].report(true);
+        for number in 0..20 {
+            let id = format!("other-{number}");
+            let response = fleet.request("GET", "/read/x", &id).await;
+            assert_eq!(response.head.status, 200, "{id}");
+        }
     });
 }
