Read the bodies of answers in pieces, so that endless ones stay within the memory

Reported by other operators: a faulty worker sent bytes without end in a body, and the machine that had called it ran out of memory; requests of other clients ended with it.

Cause, as seen here: all answers that are read share 64 MiB, but each body was one buffer that was allocated anew and copied as it grew. The allocator held both copies meanwhile and kept gaps between the buffers of several answers, which the shared memory does not count. Eight endless chunked answers took up to 227 MB; a machine has 160 MiB.

Fix: the pool reads a body into pieces of up to 256 KiB that are never moved (src/mesh/segments.rs), and writes them into the reply at once, where the body was copied before too. Their capacity is what the shared memory counts. Requests, reports and pages of the store are read into one buffer as before.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -385,7 +385,48 @@
     }
 }
 
-/// Reads a complete body.
+/// Buffer that a body is read into.
+pub trait BodyBuffer: Default {
+    /// Length so far.
+    fn len(&self) -> usize;
+
+    /// Returns whether nothing has been appended.
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Appends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the memory of the body exceeds its limit.
+    fn append(&mut self, bytes: &[u8], limit: &mut impl BodyLimit) -> Result<(), MessageError>;
+}
+
+impl BodyBuffer for Vec<u8> {
+    fn len(&self) -> usize {
+        self.len()
+    }
+
+    fn append(&mut self, bytes: &[u8], limit: &mut impl BodyLimit) -> Result<(), MessageError> {
+        let length = self.len() + bytes.len();
+        if length > self.capacity() || self.is_empty() {
+            let spare = length / SPARE_DIVISOR;
+            let capacity = if limit.grow((length + spare) as u64) {
+                length + spare
+            } else if limit.grow(length as u64) {
+                length
+            } else {
+                return Err(MessageError::BodyTooLarge);
+            };
+            self.reserve_exact(capacity - self.len());
+        }
+        self.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+/// Reads a complete body into one piece of memory.
 ///
 /// # Errors
 ///
@@ -393,30 +434,45 @@
 pub async fn read_body(
     conn: &mut Conn,
     framing: Framing,
-    mut limit: impl BodyLimit,
+    limit: impl BodyLimit,
 ) -> Result<Vec<u8>, MessageError> {
+    read_body_as(conn, framing, limit).await
+}
+
+/// Reads a complete body into a buffer of this type.
+///
+/// # Errors
+///
+/// Fails if the body is truncated, malformed or too large.
+pub async fn read_body_as<B: BodyBuffer>(
+    conn: &mut Conn,
+    framing: Framing,
+    mut limit: impl BodyLimit,
+) -> Result<B, MessageError> {
+    let mut body = B::default();
     match framing {
-        Framing::Empty => Ok(Vec::new()),
-        Framing::Length(length) if length > limit.max_bytes() => Err(MessageError::BodyTooLarge),
+        Framing::Empty => {}
+        Framing::Length(length) if length > limit.max_bytes() => {
+            return Err(MessageError::BodyTooLarge);
+        }
         Framing::Length(length) => {
-            let mut body = Vec::new();
             read_exact(conn, &mut body, length as usize, &mut limit).await?;
-            Ok(body)
         }
-        Framing::Chunked => read_chunks(conn, &mut limit).await,
-        Framing::UntilClose => read_rest(conn, &mut limit).await,
+        Framing::Chunked => read_chunks(conn, &mut body, &mut limit).await?,
+        Framing::UntilClose => read_rest(conn, &mut body, &mut limit).await?,
     }
+    Ok(body)
 }
 
 async fn read_exact(
     conn: &mut Conn,
-    body: &mut Vec<u8>,
+    body: &mut impl BodyBuffer,
     mut count: usize,
     limit: &mut impl BodyLimit,
 ) -> Result<(), MessageError> {
     loop {
         let piece = conn.buffered().len().min(count);
-        append(body, &conn.buffered()[..piece], limit)?;
+        body.append(&conn.buffered()[..piece], limit)?;
         conn.consume(piece);
         count -= piece;
         if count == 0 {
@@ -426,54 +482,38 @@
     }
 }
 
-/// Appends bytes to a body whose allocated memory is limited, not only its length.
-fn append(
-    body: &mut Vec<u8>,
-    bytes: &[u8],
+async fn read_rest(
+    conn: &mut Conn,
+    body: &mut impl BodyBuffer,
     limit: &mut impl BodyLimit,
 ) -> Result<(), MessageError> {
-    let length = body.len() + bytes.len();
-    if length > body.capacity() || body.is_empty() {
-        let spare = length / SPARE_DIVISOR;
-        let capacity = if limit.grow((length + spare) as u64) {
-            length + spare
-        } else if limit.grow(length as u64) {
-            length
-        } else {
-            return Err(MessageError::BodyTooLarge);
-        };
-        body.reserve_exact(capacity - body.len());
-    }
-    body.extend_from_slice(bytes);
-    Ok(())
-}
-
-async fn read_rest(conn: &mut Conn, limit: &mut impl BodyLimit) -> Result<Vec<u8>, MessageError> {
-    let mut body = Vec::new();
     loop {
         let count = conn.buffered().len();
-        append(&mut body, conn.buffered(), limit)?;
+        body.append(conn.buffered(), limit)?;
         conn.consume(count);
         match conn.fill().await {
-            Ok(0) => return Ok(body),
+            Ok(0) => return Ok(()),
             Ok(_) => {}
             Err(_) => return Err(MessageError::Truncated),
         }
     }
 }
 
-async fn read_chunks(conn: &mut Conn, limit: &mut impl BodyLimit) -> Result<Vec<u8>, MessageError> {
-    let mut body = Vec::new();
+async fn read_chunks(
+    conn: &mut Conn,
+    body: &mut impl BodyBuffer,
+    limit: &mut impl BodyLimit,
+) -> Result<(), MessageError> {
     loop {
         let size = read_chunk_size(conn).await?;
         if size == 0 {
-            return read_trailers(conn).await.map(|()| body);
+            return read_trailers(conn).await;
         }
         let max_bytes = limit.max_bytes();
         if size > max_bytes || body.len() as u64 + size > max_bytes {
             return Err(MessageError::BodyTooLarge);
         }
-        read_exact(conn, &mut body, size as usize, limit).await?;
+        read_exact(conn, body, size as usize, limit).await?;
         while conn.buffered().len() < CHUNK_END.len() {
             fill(conn).await?;
         }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -34,6 +34,7 @@
 pub mod registry;
 pub mod routes;
 pub mod runtime;
+pub mod segments;
 mod sends;
 pub mod settings;
 pub mod startup;
--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -7,6 +7,7 @@
             http::{self, Head, MessageError},
             protocol::{AnswerMetadata, Protocol},
             runtime::now_us,
+            segments::Segments,
         },
         policy::shared_memory::SharedMemory,
     },
@@ -83,7 +84,7 @@
     /// Head.
     pub head: Head,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Segments,
 }
 
 /// Idle connection, and the time until which it may be reused.
@@ -209,7 +210,7 @@
             let head = http::read_answer(conn, MAX_ANSWER_HEAD_BYTES, is_head_request).await?;
             let metadata = self.protocol.answer_metadata(&head);
             let is_own = is_answer_to(&head, metadata, attempt_id)?;
-            let body = http::read_body(conn, head.framing, self.memory.share()).await?;
+            let body = http::read_body_as(conn, head.framing, self.memory.share()).await?;
             if is_own {
                 let is_reusable = unmatched == 0 && !head.closes && conn.buffered().is_empty();
                 return Ok((WorkerAnswer { head, body }, is_reusable));
--- a/src/mesh/work.rs
+++ b/src/mesh/work.rs
@@ -6,7 +6,7 @@
             Mesh,
             frame::{Call, CallResult, Reply},
             gate::{Change, DownstreamOutcome, Running},
-            http,
+            http::{self, BodyBuffer},
             organisations::AuthenticationError,
             pool::{ExchangeError, ExchangeErrorKind, WorkerAnswer},
             protocol::{RequestContext, WorkerStatement},
@@ -299,7 +299,7 @@
             head_bytes: payload.len() as u32,
             not_run: metadata.is_not_run,
         };
-        payload.extend_from_slice(&answer.body);
+        answer.body.write(&mut payload);
         (self.reply(result, true, downstream), payload)
     }
 
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -87,7 +87,9 @@
 fn exchange_short(answer: &str) -> Result<Vec<u8>, ExchangeErrorKind> {
     let addr = worker(answer.into(), End::HalfClose);
     let result = exchange(addr, &request(0));
-    result.map(|answer| answer.body).map_err(|error| error.kind)
+    result
+        .map(|answer| answer.body.to_vec())
+        .map_err(|error| error.kind)
 }
 
 /// Complete answer with this status line and a body of `body`.
@@ -165,7 +167,7 @@
     ] {
         let addr = worker(answer.clone().into(), end);
         let answer = exchange(addr, &request).unwrap();
-        assert_eq!(answer.body, b"body", "{end:?}");
+        assert_eq!(answer.body.to_vec(), b"body", "{end:?}");
     }
 }
 
@@ -288,7 +290,7 @@
             let pool = Pool::new(Rc::new(WireProtocol));
             for _ in 0..2 {
                 let answer = pool.exchange(addr, &request(0), "id", false).await;
-                assert_eq!(answer.unwrap().body, b"body", "{timeout}");
+                assert_eq!(answer.unwrap().body.to_vec(), b"body", "{timeout}");
             }
         });
         assert_eq!(worker.join().unwrap(), 2, "{timeout}");
