Send the requests of a test once the unusual configuration is in force

The requests could be served under the version before, so that the test checked less than it says. It passes on this code and takes as long as before.

--- a/tests/mesh/odd_input.rs
+++ b/tests/mesh/odd_input.rs
@@ -22,6 +22,9 @@
 /// Wait for an answer under an unusual configuration.
 const ODD_ANSWER_MS: u64 = 100;
 
+/// Wait for an unusual configuration to come into force.
+const ODD_CONFIG_MS: u64 = 60;
+
 /// Unusual values for a number.
 fn numbers() -> [Value; 7] {
     [
@@ -102,6 +105,14 @@
 async fn follows_after(fleet: &Fleet, name: &str, odd: &[u8], version: u64) {
     let vm = &fleet.vms[0];
     fleet.store.write("op/config", odd, 0);
+    // A refused document never comes into force.
+    let before = vm.mesh.config_version();
+    let changed = async {
+        while vm.mesh.config_version() == before {
+            sleep_ms(5).await;
+        }
+    };
+    let _ = within(ODD_CONFIG_MS, changed).await;
     let fields = "Authorization: Token key\r\n";
     for (path, id) in [("/read/x", "a"), ("/order/x", "b")] {
         let mut client = Client::connect(vm).await;
