--- a/tests/mesh/odd_input.rs
+++ b/tests/mesh/odd_input.rs
@@ -10,7 +10,7 @@
     },
 };
 
-/// Levels of a deeply nested value, far more than a recursive decoder bears.
+/// Levels of a deeply nested value, enough to overflow the stack of a recursive decoder.
 const NESTED_LEVELS: usize = 200_000;
 
 /// Levels in a report, whose length is limited.
@@ -68,7 +68,7 @@
     })
 }
 
-/// Texts that are no document, whatever it is of.
+/// Texts that neither a configuration nor a report nor an entry can be decoded from.
 fn unreadable(levels: usize) -> Vec<(String, Vec<u8>)> {
     let nested = |open: &str, close: &str| {
         open.repeat(levels)
@@ -273,7 +273,7 @@
         let response = fleet.request("GET", "/read/x", "id").await;
         assert_eq!(response.head.status, 200);
         assert!(fleet.vms[0].mesh.metrics.get("store.bad_entry") > 0);
-        // The other daemon is still reached, after the probes of the odd members have failed.
+        // The other daemon is still reached, after the probes of the malformed members have failed.
         sleep_ms(PROBES_MS).await;
         fleet.vms[0].report(true);
         for number in 0..20 {
--- a/tests/wire_store.rs
+++ b/tests/wire_store.rs
@@ -91,7 +91,7 @@
     [head.as_bytes(), body].concat()
 }
 
-/// Value nested far deeper than a recursive decoder bears.
+/// Value nested deep enough to overflow the stack of a recursive decoder.
 fn nested() -> String {
     "[".repeat(200_000) + &"]".repeat(200_000)
 }
