Log what each call for the configuration continued after and brought

No line or counter told how a daemon misses a version: after which revision a read or a watch continued, how many versions its answer had, at which revision the newest one was written, and how long the call took. Each call now logs these once; it is a few lines a second at most, as a daemon has one such call at a time. Failed calls are logged at info level with the call that failed.

--- a/src/mesh/protocol.rs
+++ b/src/mesh/protocol.rs
@@ -167,6 +167,8 @@
     pub key: SmolStr,
     /// Value.
     pub value: Vec<u8>,
+    /// Revision of the store at its last change, if stated.
+    pub revision: Option<u64>,
 }
 
 /// Change of an entry in the store.
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -350,6 +350,7 @@
     loop {
         let outdated = mesh.registry.watch_outdated.listen();
         let rises = mesh.registry.rises.get();
+        let started_us = now_us();
         let result = {
             let updated = pin!(update_config(&mesh, &mut cursor));
             match select(updated, outdated).await {
@@ -368,7 +369,8 @@
                 backoff = Backoff::new();
             }
             Some(Err(error)) => {
-                tracing::debug!(%error, "watching the configuration failed");
+                tracing::info!(%error, call = ?cursor.next_call(),
+                    took_us = now_us().saturating_sub(started_us), "call for the configuration failed");
                 mesh.metrics.count("config.watch_failed");
                 mesh.registry.record_watch(true);
                 cursor.reset();
@@ -388,6 +390,7 @@
     let apply = |entry: &StoreEntry| {
         entry.key == key && mesh.apply_config(&entry.value, ConfigSource::Store)
     };
+    let started_us = now_us();
     let (after, wait_ms) = match cursor.next_call() {
         NextCall::Watch { after, wait_ms } => (after, wait_ms),
         NextCall::Read => {
@@ -395,6 +398,13 @@
             let page = mesh.store.list(key, "", Freshness::Latest).await;
             let page = mesh.registry.accept("read configuration", page)?;
             let is_newer = page.entries.iter().any(apply);
+            tracing::info!(
+                revision = page.revision,
+                changed = newest_revision(&page.entries),
+                is_newer,
+                took_us = now_us().saturating_sub(started_us),
+                "configuration read"
+            );
             cursor.record_read(page.revision, is_newer, now_us());
             return Ok(());
         }
@@ -407,8 +417,22 @@
     let watched = mesh.store.watch(key, after, wait_ms).await;
     mesh.registry.is_watch_waiting.set(false);
     match mesh.registry.accept("watch configuration", watched)? {
-        WatchResult::Compacted => cursor.reset(),
+        WatchResult::Compacted => {
+            tracing::info!(
+                after,
+                "history of the configuration is gone; newest version is read"
+            );
+            cursor.reset();
+        }
         WatchResult::Changes { changes, revision } => {
+            tracing::info!(
+                after,
+                revision,
+                versions = changes.len(),
+                wait_ms,
+                took_us = now_us().saturating_sub(started_us),
+                "configuration watched"
+            );
             cursor.record_changes(revision, changes.len(), now_us());
             mesh.metrics.add("config.watched", changes.len() as u64);
             for change in changes {
@@ -425,6 +449,11 @@
     Ok(())
 }
 
+/// Largest revision at which one of the entries was changed.
+fn newest_revision(entries: &[StoreEntry]) -> Option<u64> {
+    entries.iter().filter_map(|entry| entry.revision).max()
+}
+
 /// Closes expired idle connections to the worker.
 pub async fn sweep(mesh: Rc<Mesh>) {
     loop {
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -101,10 +101,19 @@
     }
 }
 
+/// Value in the store.
+#[derive(Debug, Clone)]
+struct StoredItem {
+    value: Vec<u8>,
+    lease: u64,
+    /// Revision of the last change.
+    revision: u64,
+}
+
 /// In-memory store.
 #[derive(Default)]
 pub(crate) struct TestStore {
-    items: RefCell<BTreeMap<String, (Vec<u8>, u64)>>,
+    items: RefCell<BTreeMap<String, StoredItem>>,
     history: RefCell<Vec<(u64, StoreChange)>>,
     revision: Cell<u64>,
     compacted_revision: Cell<u64>,
@@ -121,7 +130,7 @@
 
 /// State of a [`TestStore`] at one moment.
 pub(crate) struct StoreCopy {
-    items: BTreeMap<String, (Vec<u8>, u64)>,
+    items: BTreeMap<String, StoredItem>,
     history: Vec<(u64, StoreChange)>,
     revision: u64,
     leases: BTreeSet<u64>,
@@ -130,7 +139,7 @@
 impl StoreCopy {
     /// Removes all leases and their entries.
     pub(crate) fn without_leased(mut self) -> Self {
-        self.items.retain(|_, (_, lease)| *lease == 0);
+        self.items.retain(|_, item| item.lease == 0);
         self.leases.clear();
         self
     }
@@ -185,12 +194,17 @@
     }
 
     pub(crate) fn write(&self, key: &str, value: &[u8], lease: u64) {
-        self.items
-            .borrow_mut()
-            .insert(key.into(), (value.to_vec(), lease));
+        let revision = self.revision.get() + 1;
+        let item = StoredItem {
+            value: value.to_vec(),
+            lease,
+            revision,
+        };
+        self.items.borrow_mut().insert(key.into(), item);
         self.change(StoreChange::Put(StoreEntry {
             key: key.into(),
             value: value.to_vec(),
+            revision: Some(revision),
         }));
     }
 
@@ -199,7 +213,7 @@
         self.leases.borrow_mut().clear();
         let leased: Vec<String> = {
             let items = self.items.borrow();
-            let leased = items.iter().filter(|(_, (_, lease))| *lease > 0);
+            let leased = items.iter().filter(|(_, item)| item.lease > 0);
             leased.map(|(key, _)| key.clone()).collect()
         };
         for key in leased {
@@ -217,8 +231,7 @@
     /// Value of a key.
     pub(crate) fn entry(&self, key: &str) -> Option<String> {
         let items = self.items.borrow();
-        let (value, _) = items.get(key)?;
-        String::from_utf8(value.clone()).ok()
+        String::from_utf8(items.get(key)?.value.clone()).ok()
     }
 
     pub(crate) fn keys(&self) -> Vec<String> {
@@ -235,9 +248,10 @@
         let below = items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let entries = below.map(|(key, (value, _))| StoreEntry {
+        let entries = below.map(|(key, item)| StoreEntry {
             key: key.as_str().into(),
-            value: value.clone(),
+            value: item.value.clone(),
+            revision: Some(item.revision),
         });
         Ok(self.answered(Page {
             entries: entries.collect(),
