Continue the watch of the configuration after what a read brought

Cause: the watch continued after the revision that the page of a read states. No call ever brings this change. Daemons far from the store read most often during a series, as a watch then brings several versions at once.

Evidence: store::a_change_during_a_read_is_in_force, with a stand-in that writes a version between the entry and the revision of a page, failed on the code before (the version was not in force after ten seconds); it passes now. Whether the users' store can answer so is not known.

Fix: the watch continues after the revision of the entry that was read, or after one that the store had stated before the read began, whichever is newer; a linearizable read that begins later includes all changes up to it. At worst a version arrives twice. If the entry is older than the history, the watch is refused once and a second read, begun after the first page, gives the position: two calls more at the start of such a daemon. The revisions are forgotten when the store comes back from an older copy.

--- a/src/mesh/cursor.rs
+++ b/src/mesh/cursor.rs
@@ -7,6 +7,11 @@
 //! written accumulate, so that each answer is longer than the one before. A daemon that is behind
 //! therefore reads the newest version until it has caught up.
 //!
+//! A page of the store is not a snapshot: its revision may be that of a change which its entries do
+//! not include. A watch after it would miss that change until the next one. A read therefore
+//! continues after the revision of the entry that it brought, or after one that the store had stated
+//! before the read began.
+//!
 //! A store that falls silent takes the calls that are under way and never answers them. During
 //! frequent changes these are the next watches of all daemons at once. Such a watch waits for a
 //! short time only, so that it ends soon if it is lost.
@@ -41,6 +46,9 @@
 pub struct ConfigCursor {
     /// Revision up to which changes are known; `None` if it is unknown or too old.
     revision: Option<u64>,
+    /// Newest revision that an earlier answer has stated. A read that begins now includes all changes
+    /// up to it.
+    stated: Option<u64>,
     /// Whether versions are written faster than they arrive.
     is_behind: bool,
     /// Time of the last change.
@@ -65,10 +73,11 @@
         }
     }
 
-    /// Records that the newest version at a revision was read, and whether it replaced the one in
-    /// force.
-    pub fn record_read(&mut self, revision: u64, is_newer: bool, now_us: u64) {
-        self.revision = Some(revision);
+    /// Records a read: the revision that its page states, the one at which the entry was written, and
+    /// whether the version replaced the one in force.
+    pub fn record_read(&mut self, stated: u64, written: Option<u64>, is_newer: bool, now_us: u64) {
+        self.revision = written.max(self.stated);
+        self.stated = self.stated.max(Some(stated));
         self.is_behind &= is_newer;
         if is_newer {
             self.record_change(now_us);
@@ -78,6 +87,7 @@
     /// Records the number of versions that a watch delivered up to a revision.
     pub fn record_changes(&mut self, revision: u64, versions: usize, now_us: u64) {
         self.revision = Some(revision);
+        self.stated = self.stated.max(self.revision);
         self.is_behind = versions > 1;
         if versions > 0 {
             self.record_change(now_us);
@@ -92,9 +102,14 @@
             last_us.is_some_and(|last_us| now_us.saturating_sub(last_us) < FREQUENT_CHANGE_US);
     }
 
-    /// Forgets the position, as many versions may have been written since, or as its revision is no
-    /// longer valid.
+    /// Forgets the position, as many versions may have been written since.
     pub fn reset(&mut self) {
         self.revision = None;
     }
+
+    /// Forgets all revisions, as the store may give them out again.
+    pub fn forget_revisions(&mut self) {
+        self.revision = None;
+        self.stated = None;
+    }
 }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -361,7 +361,7 @@
         mesh.registry.is_watch_waiting.set(false);
         // Revisions of an earlier era may have been given out again.
         if mesh.registry.rises.get() != rises {
-            cursor.reset();
+            cursor.forget_revisions();
         }
         match result {
             Some(Ok(())) => {
@@ -398,14 +398,16 @@
             let page = mesh.store.list(key, "", Freshness::Latest).await;
             let page = mesh.registry.accept("read configuration", page)?;
             let is_newer = page.entries.iter().any(apply);
+            let entry = page.entries.iter().find(|entry| entry.key == key);
+            let written = entry.and_then(|entry| entry.revision);
             tracing::info!(
                 revision = page.revision,
-                changed = newest_revision(&page.entries),
+                written,
                 is_newer,
                 took_us = now_us().saturating_sub(started_us),
                 "configuration read"
             );
-            cursor.record_read(page.revision, is_newer, now_us());
+            cursor.record_read(page.revision, written, is_newer, now_us());
             return Ok(());
         }
     };
@@ -449,11 +451,6 @@
     Ok(())
 }
 
-/// Largest revision at which one of the entries was changed.
-fn newest_revision(entries: &[StoreEntry]) -> Option<u64> {
-    entries.iter().filter_map(|entry| entry.revision).max()
-}
-
 /// Closes expired idle connections to the worker.
 pub async fn sweep(mesh: Rc<Mesh>) {
     loop {
--- a/tests/cursor.rs
+++ b/tests/cursor.rs
@@ -72,7 +72,7 @@
                 received.worst_lag_ms = received.worst_lag_ms.max(lag_ms);
             }
             if is_read {
-                cursor.record_read(newest, newest > in_force, now_ms * 1_000);
+                cursor.record_read(newest, Some(newest), newest > in_force, now_ms * 1_000);
             } else {
                 cursor.record_changes(newest, documents as usize, now_ms * 1_000);
             }
@@ -84,7 +84,7 @@
 
 fn watching(after: u64) -> ConfigCursor {
     let mut cursor = ConfigCursor::default();
-    cursor.record_read(after, true, 0);
+    cursor.record_read(after, Some(after), true, 0);
     cursor
 }
 
@@ -127,9 +127,9 @@
     let mut cursor = watching(4);
     cursor.record_changes(7, 3, SECOND_US);
     assert_eq!(cursor.next_call(), NextCall::Read);
-    cursor.record_read(9, true, SECOND_US);
+    cursor.record_read(9, Some(9), true, SECOND_US);
     assert_eq!(cursor.next_call(), NextCall::Read);
-    cursor.record_read(9, false, SECOND_US);
+    cursor.record_read(9, Some(9), false, SECOND_US);
     assert!(matches!(
         cursor.next_call(),
         NextCall::Watch { after: 9, .. }
@@ -149,3 +149,44 @@
     cursor.record_changes(2, 0, 62 * SECOND_US);
     assert_eq!(wait_ms(&cursor), long_ms);
 }
+
+// Guards against a watch after a change that the page of the read did not include.
+#[test]
+fn a_read_continues_after_what_it_brought() {
+    let mut cursor = ConfigCursor::default();
+    cursor.record_read(9, Some(5), true, 0);
+    assert!(matches!(
+        cursor.next_call(),
+        NextCall::Watch { after: 5, .. }
+    ));
+    // Revision 5 is older than the history. The next read begins after the page of revision 9.
+    cursor.reset();
+    cursor.record_read(12, Some(5), false, 0);
+    assert!(matches!(
+        cursor.next_call(),
+        NextCall::Watch { after: 9, .. }
+    ));
+}
+
+#[test]
+fn without_a_revision_of_the_entry_a_second_read_follows() {
+    let mut cursor = ConfigCursor::default();
+    cursor.record_read(9, None, true, 0);
+    assert_eq!(cursor.next_call(), NextCall::Read);
+    cursor.record_read(10, None, false, 0);
+    assert!(matches!(
+        cursor.next_call(),
+        NextCall::Watch { after: 9, .. }
+    ));
+}
+
+#[test]
+fn revisions_that_are_given_out_again_are_forgotten() {
+    let mut cursor = watching(9);
+    cursor.forget_revisions();
+    cursor.record_read(4, Some(3), true, 0);
+    assert!(matches!(
+        cursor.next_call(),
+        NextCall::Watch { after: 3, .. }
+    ));
+}
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -208,6 +208,11 @@
         }));
     }
 
+    /// Writes a version of the configuration, as the operators do.
+    pub(crate) fn write_config(&self, version: u64) {
+        self.write(CONFIG_KEY, config(version, 1_500).as_bytes(), 0);
+    }
+
     /// Expires all leases and removes their entries.
     pub(crate) fn expire_leases(&self) {
         self.leases.borrow_mut().clear();
@@ -323,6 +328,9 @@
     pub(crate) loses_changes: Cell<bool>,
     /// Number of answers with changes that were lost.
     pub(crate) lost_changes: Cell<u32>,
+    /// Version of the configuration that is written while the next read of it is answered, after its
+    /// entry and before its revision.
+    pub(crate) written_in_read: Cell<Option<u64>>,
     /// Number of watches that get no answer.
     pub(crate) swallowed_watches: Cell<u32>,
     /// Number of configuration documents that the store has sent to this VM.
@@ -371,8 +379,12 @@
 impl PlatformStore for VmStore {
     async fn list(&self, prefix: &str, after: &str, freshness: Freshness) -> StoreResult<Page> {
         self.reach(0).await?;
-        let page = self.store.list(prefix, after, freshness).await?;
+        let mut page = self.store.list(prefix, after, freshness).await?;
         if prefix == CONFIG_KEY {
+            if let Some(version) = self.written_in_read.take() {
+                self.store.write_config(version);
+                page.value.revision = self.store.revision.get();
+            }
             self.count_configs(page.value.entries.len());
         }
         Ok(page)
@@ -819,8 +831,7 @@
 
     /// Writes a version of the configuration, as the operators do.
     pub(crate) fn write_config(&self, version: u64) {
-        self.store
-            .write(CONFIG_KEY, config(version, 1_500).as_bytes(), 0);
+        self.store.write_config(version);
     }
 
     /// Number of requests whose cancellation workers have seen.
@@ -887,6 +898,7 @@
         loses_changes: Cell::new(false),
         lost_changes: Cell::new(0),
         swallows_watches: Cell::new(false),
+        written_in_read: Cell::new(None),
         swallowed_watches: Cell::new(0),
         received_configs: Cell::new(0),
         lost_answers: Cell::new(0),
--- a/tests/mesh/store.rs
+++ b/tests/mesh/store.rs
@@ -278,6 +278,40 @@
     });
 }
 
+// Guards against a change that no call ever brings: a page of the store is no snapshot, so its revision
+// may be that of a change which its entries do not include.
+#[test]
+fn a_change_during_a_read_is_in_force() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        let vm = &fleet.vms[0];
+        let waits = |reads| move || vm.mesh.metrics.get("config.read") >= reads;
+        eventually("a waiting watch", waits(1)).await;
+        vm.store.written_in_read.set(Some(2));
+        vm.mesh.registry.replace_watch("test");
+        eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
+    });
+}
+
+// Guards against calls without end: the entry of the configuration is older than the history that the
+// store keeps, so no watch can continue after its revision.
+#[test]
+fn a_configuration_older_than_the_history_is_watched_after_a_second_read() {
+    run(async {
+        let mut fleet = Fleet::start(1).await;
+        fleet.store.write("other", b"", 0);
+        fleet.store.compact();
+        fleet.restart(0);
+        let vm = &fleet.vms[0];
+        eventually("the configuration", || vm.mesh.config_version().0 == 1).await;
+        sleep_ms(500).await;
+        let reads = vm.mesh.metrics.get("config.read");
+        assert!(reads <= 2, "{reads} reads");
+        fleet.write_config(2);
+        eventually("the change in force", || vm.mesh.config_version().0 == 2).await;
+    });
+}
+
 #[test]
 fn the_sources_of_configurations_are_counted() {
     run(async {
