Give up a lost watch while a change can still be in force in time

Cause: during frequent changes a lost watch ended after 1.0 s of waiting and 1.5 s of time limit, and a read followed. The 2.5 s were derived from the shortest time after which the platform counts a store as stable, not from the time in which a change must be in force, which is 2 s on some deployments and which no setting carried.

The limit is decided with the wait, in mesh/cursor. Without an event a watch is followed by a long one as before, so the number of calls of a calm fleet does not change.

--- a/src/mesh/cursor.rs
+++ b/src/mesh/cursor.rs
@@ -13,13 +13,13 @@
 //! before the read began.
 //!
 //! A store that falls silent takes the calls that are under way and never answers them. During
-//! frequent changes these are the next watches of all daemons at once. Such a watch waits for a
-//! short time only, so that it ends soon if it is lost.
+//! frequent changes these are the next watches of all daemons at once, and no peer knows of a later
+//! change. Such a watch waits for a short time only, so that a read can replace a lost one while the
+//! change is still in time.
 
-/// Wait of a watch during frequent changes. With the time limit of its answer, it ends less than
-/// three seconds after it is lost, the shortest time after which the platform counts a store as
-/// stable again.
-const FREQUENT_WAIT_MS: u64 = 1_000;
+/// Parts of the time within which a change must be in force: the wait of a watch during frequent
+/// changes, as long for its answer, and the rest for the read that replaces it.
+const PROPAGATION_PARTS: u64 = 4;
 
 /// Longest wait of one watch that the platform allows.
 const MAX_WAIT_MS: u64 = 30_000;
@@ -38,12 +38,16 @@
         after: u64,
         /// Longest wait.
         wait_ms: u64,
+        /// Time after which a watch without an answer is given up, wait included.
+        limit_ms: u64,
     },
 }
 
 /// Position in the history of the configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigCursor {
+    /// Wait of a watch during frequent changes, and time limit of each answer after the wait.
+    part_ms: u64,
     /// Revision up to which changes are known; `None` if it is unknown or too old.
     revision: Option<u64>,
     /// Newest revision that an earlier answer has stated. A read that begins now includes all changes
@@ -58,17 +62,33 @@
 }
 
 impl ConfigCursor {
+    /// Begins with a read. A change must be in force within `propagation_ms`.
+    pub fn new(propagation_ms: u64) -> Self {
+        Self {
+            part_ms: propagation_ms / PROPAGATION_PARTS,
+            revision: None,
+            stated: None,
+            is_behind: false,
+            changed_us: None,
+            is_frequent: false,
+        }
+    }
+
     /// Next call to the store.
     pub fn next_call(&self) -> NextCall {
         match self.revision {
-            Some(after) if !self.is_behind => NextCall::Watch {
-                after,
-                wait_ms: if self.is_frequent {
-                    FREQUENT_WAIT_MS
+            Some(after) if !self.is_behind => {
+                let wait_ms = if self.is_frequent {
+                    self.part_ms.min(MAX_WAIT_MS)
                 } else {
                     MAX_WAIT_MS
-                },
-            },
+                };
+                NextCall::Watch {
+                    after,
+                    wait_ms,
+                    limit_ms: wait_ms.saturating_add(self.part_ms),
+                }
+            }
             _ => NextCall::Read,
         }
     }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -21,7 +21,7 @@
             entry::{self, Entry},
             era::{EraCheck, EraTracker},
             protocol::{Answered, Freshness, StoreChange, StoreEntry, StoreResult, WatchResult},
-            runtime::{now_us, sleep_ms, sleep_until},
+            runtime::{now_us, sleep_ms, sleep_until, within},
         },
         store::{LeaseId, StoreError},
     },
@@ -346,7 +346,7 @@
 /// Watches the configuration.
 pub async fn watch_config(mesh: Rc<Mesh>) {
     let mut backoff = Backoff::new();
-    let mut cursor = ConfigCursor::default();
+    let mut cursor = ConfigCursor::new(mesh.settings.propagation_ms);
     loop {
         let outdated = mesh.registry.watch_outdated.listen();
         let rises = mesh.registry.rises.get();
@@ -391,15 +391,20 @@
         entry.key == key && mesh.apply_config(&entry.value, ConfigSource::Store)
     };
     let started_us = now_us();
-    let (after, wait_ms) = match cursor.next_call() {
-        NextCall::Watch { after, wait_ms } => (after, wait_ms),
+    let (after, wait_ms, limit_ms) = match cursor.next_call() {
+        NextCall::Watch {
+            after,
+            wait_ms,
+            limit_ms,
+        } => (after, wait_ms, limit_ms),
         NextCall::Read => {
             mesh.metrics.count("config.read");
             let page = mesh.store.list(key, "", Freshness::Latest).await;
             let page = mesh.registry.accept("read configuration", page)?;
             let is_newer = page.entries.iter().any(apply);
             let entry = page.entries.iter().find(|entry| entry.key == key);
-            let written = entry.and_then(|entry| entry.revision);
+            // Without an entry, the whole history is what this daemon has not received.
+            let written = entry.map_or(Some(0), |entry| entry.revision);
             tracing::info!(
                 revision = page.revision,
                 written,
@@ -416,9 +421,17 @@
         // The renewal is sent after the watch, as its task does not run before this one waits.
         mesh.registry.wake();
     }
-    let watched = mesh.store.watch(key, after, wait_ms).await;
+    let step = "watch configuration";
+    let watched = within(limit_ms, mesh.store.watch(key, after, wait_ms)).await;
     mesh.registry.is_watch_waiting.set(false);
-    match mesh.registry.accept("watch configuration", watched)? {
+    let watched = watched.unwrap_or_else(|| {
+        Err(StoreError::Uncertain {
+            step,
+            peer: SmolStr::new_static("store"),
+            detail: format_smolstr!("no answer within {limit_ms} ms"),
+        })
+    });
+    match mesh.registry.accept(step, watched)? {
         WatchResult::Compacted => {
             tracing::info!(
                 after,
--- a/tests/cursor.rs
+++ b/tests/cursor.rs
@@ -5,11 +5,12 @@
 /// Time within which a version must be in force on the platform.
 const PROPAGATION_MS: u64 = 2_000;
 
-/// Shortest time after an outage of the store after which the platform counts it as stable.
-const SETTLE_MS: u64 = 3_000;
+/// Longest delay between a failed call and the next one, jitter included.
+const BACKOFF_MS: u64 = 125;
 
-/// Time limit of an answer of the store, in addition to the wait that the call itself requests.
-const ANSWER_TIMEOUT_MS: u64 = 1_500;
+/// Time for the read that replaces a lost watch: the slowest answer of a disturbed store and a round
+/// trip between regions.
+const READ_MS: u64 = 300;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -83,7 +84,7 @@
 }
 
 fn watching(after: u64) -> ConfigCursor {
-    let mut cursor = ConfigCursor::default();
+    let mut cursor = ConfigCursor::new(PROPAGATION_MS);
     cursor.record_read(after, Some(after), true, 0);
     cursor
 }
@@ -145,15 +146,31 @@
     cursor.record_changes(1, 1, 60 * SECOND_US);
     assert_eq!(wait_ms(&cursor), long_ms);
     cursor.record_changes(2, 1, 61 * SECOND_US);
-    assert!(wait_ms(&cursor) + ANSWER_TIMEOUT_MS < SETTLE_MS);
+    assert!(wait_ms(&cursor) < long_ms);
     cursor.record_changes(2, 0, 62 * SECOND_US);
     assert_eq!(wait_ms(&cursor), long_ms);
 }
 
+// Guards against a last change of a series that is in force too late, as the watch that follows it is
+// lost and given up only after the time within which a change must be in force.
+#[test]
+fn a_read_replaces_a_lost_watch_of_frequent_changes_in_time() {
+    for propagation_ms in [1_000, 2_000, 3_000, 10_000] {
+        let mut cursor = ConfigCursor::new(propagation_ms);
+        cursor.record_read(0, Some(0), true, 0);
+        cursor.record_changes(1, 1, SECOND_US);
+        let NextCall::Watch { limit_ms, .. } = cursor.next_call() else {
+            panic!("the next call is a read");
+        };
+        let in_force_ms = limit_ms + BACKOFF_MS + READ_MS;
+        assert!(in_force_ms <= propagation_ms, "{in_force_ms} ms");
+    }
+}
+
 // Guards against a watch after a change that the page of the read did not include.
 #[test]
 fn a_read_continues_after_what_it_brought() {
-    let mut cursor = ConfigCursor::default();
+    let mut cursor = ConfigCursor::new(PROPAGATION_MS);
     cursor.record_read(9, Some(5), true, 0);
     assert!(matches!(
         cursor.next_call(),
@@ -170,7 +187,7 @@
 
 #[test]
 fn without_a_revision_of_the_entry_a_second_read_follows() {
-    let mut cursor = ConfigCursor::default();
+    let mut cursor = ConfigCursor::new(PROPAGATION_MS);
     cursor.record_read(9, None, true, 0);
     assert_eq!(cursor.next_call(), NextCall::Read);
     cursor.record_read(10, None, false, 0);
--- a/tests/mesh/harness.rs
+++ b/tests/mesh/harness.rs
@@ -873,6 +873,7 @@
         service: "shop".into(),
         store_addr: free_addr(),
         lease_min_ms: 1_000,
+        propagation_ms: 2_000,
         grace_ms,
         retry_budget: RetryBudgetRules {
             ratio: 0.2,
