Announce a new configuration to members whose calls to the store have missed it

What callers saw: two daemons of one data centre, far from the store, sent orders to the old service 2.003 s and 2.096 s after a change was acknowledged.

Cause: a daemon that has missed a change depends on its peers, and their path has no bound. The version in force travelled in acks of a daemon's own probes only, one probe each 0.5 s, and daemons of a region probe other regions ten times a second in all. Two checks of 250 ms and a read follow.

Evidence: membership::a_change_that_many_daemons_have_missed_is_in_force_in_time, with the bound of 2 s of the smallest deployments, failed on the code before with 14 daemons.

Fix: a daemon announces a configuration once when it comes into force there: to one member of its region, and on average eight of a region to other regions. The first report of one that is still not in force 100 ms later is forwarded to six members, and acks repeat it.

A change that all receive costs each daemon two datagrams at most (test). The states that are sent have the format of before, so daemons of both builds understand each other; the old ones do not forward.

--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -197,16 +197,21 @@
             return;
         };
         let revision = state.revision;
-        if self
-            .newest_config
-            .as_ref()
-            .is_none_or(|newest| revision >= newest.revision)
-        {
+        peer.member.revision = peer.member.revision.max(revision);
+        let known = self.newest_config.as_ref().map(|newest| newest.revision);
+        if known.is_none_or(|known| revision >= known) {
             self.newest_config = Some(NewestConfig {
                 revision,
                 call_addr: peer.member.place.call_addr,
+                reporter: key,
             });
         }
+        if known.is_none_or(|known| revision > known) {
+            self.forward_report(revision, key, now_us);
+        }
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
         if state.precedence() <= peer.member.precedence() {
             return;
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! [`Fleet`] does no I/O: the caller passes in received messages and the time, and sends the
 //! messages that it returns.
 
+mod announce;
 mod codec;
 pub mod member;
 mod merge;
@@ -26,6 +27,7 @@
 
 use {
     self::{
+        announce::Announcement,
         member::{AdvertisedWorker, Generation, Member, MemberKey, Status},
         message::{Body, Message, Outgoing},
         probe::Probes,
@@ -169,6 +171,7 @@
     events: Vec<Event>,
     received_suspects: Vec<Vec<u8>>,
     newest_config: Option<NewestConfig>,
+    announcement: Option<Announcement>,
     rng: ChaCha8Rng,
 }
 
@@ -207,6 +210,7 @@
             events: Vec::new(),
             received_suspects: Vec::new(),
             newest_config: None,
+            announcement: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         fleet.announce_body();
@@ -249,13 +253,14 @@
 
     /// Announces the configuration in force at this daemon.
     ///
-    /// Within [`Scope::Deployment`] the revision is sent with acks only: one update of each member
-    /// for each change of the configuration would grow with the square of the fleet.
+    /// Within [`Scope::Deployment`] the revision is sent with acks and in one announcement: an update
+    /// of each member for each change of the configuration would grow with the square of the fleet.
     pub fn set_revision(&mut self, revision: Revision) {
         if revision > self.local.revision {
             self.local.revision = revision;
-            if self.rules.scope == Scope::DataCentre {
-                self.announce_state(Priority::Normal);
+            match self.rules.scope {
+                Scope::DataCentre => self.announce_state(Priority::Normal),
+                Scope::Deployment => self.announce_in_force(revision),
             }
         }
     }
@@ -476,6 +481,8 @@
     pub revision: Revision,
     /// Address for calls to the member that has reported it last, as earlier ones may be gone.
     pub call_addr: SocketAddr,
+    /// That member.
+    pub(crate) reporter: MemberKey,
 }
 
 /// Worker of the local data centre that the router may pick.
--- a/src/fleet/probe.rs
+++ b/src/fleet/probe.rs
@@ -295,6 +295,7 @@
         let mut ack = self.message(Body::Ack { sequence, origin });
         if self.is_in_scope(&message.data_centre) {
             ack.states.push(self.local.state());
+            ack.states.extend(self.newer_report());
             let key = self.by_generation.get(&message.generation.0).copied();
             self.piggyback(&mut ack, key);
         }
--- a/src/fleet/tick.rs
+++ b/src/fleet/tick.rs
@@ -118,6 +118,7 @@
             return;
         }
         self.check_probes(now_us, out);
+        self.announce_config(now_us, out);
         self.expire(now_us);
         let load_interval_us = self.load_interval_us();
         if is_due(&mut self.timers.next_load_us, load_interval_us, now_us) {
--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -137,6 +137,7 @@
         let NewestConfig {
             revision,
             call_addr,
+            ..
         } = newest;
         tracing::info!(version = revision.0, peer = %call_addr, "fetching a newer configuration");
         mesh.metrics.count("config.fetched");
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -13,13 +13,16 @@
             FleetRules, Scope,
             member::{Member, Status},
         },
-        mesh::gossip,
+        mesh::{gossip, lag::LagTracker},
     },
     std::collections::BTreeSet,
 };
 
 const SECOND_US: u64 = 1_000_000;
 
+/// Interval of the daemons' ticks.
+const TICK_US: u64 = 50_000;
+
 /// Bound on what one daemon may send for control, from the plan of the users' size.
 const CONTROL_BYTES_PER_S: f64 = 28_000.0;
 
@@ -278,6 +281,109 @@
     assert!(after.eq(before));
 }
 
+/// Time within which a change must be in force on the smallest deployments.
+const PROPAGATION_US: u64 = 2 * SECOND_US;
+
+/// Interval at which a daemon compares its configuration with those that its peers have reported.
+const CHECK_US: u64 = SECOND_US / 4;
+
+/// Time from the finding that a daemon is behind until the read of the newest version has ended.
+const READ_US: u64 = 300_000;
+
+/// Time until a change that only some daemons have received from the store is in force at all others;
+/// `None` if that takes more than ten seconds. Each daemon compares and reads as [`gossip`] does.
+fn spread_change(net: &mut Net, has_received: impl Fn(usize, &Node) -> bool) -> Option<u64> {
+    let changed = Revision(net.nodes[0].fleet.local_member().revision.0 + 1);
+    for (index, node) in net.nodes.iter_mut().enumerate() {
+        if has_received(index, node) {
+            node.fleet.set_revision(changed);
+        }
+    }
+    let start_us = net.now_us;
+    let mut trackers = vec![LagTracker::default(); net.nodes.len()];
+    let mut reads = vec![None; net.nodes.len()];
+    while net.now_us - start_us <= 10 * SECOND_US {
+        let is_current = |node: &Node| node.fleet.local_member().revision == changed;
+        if net.live().all(is_current) {
+            return Some(net.now_us - start_us);
+        }
+        net.run(TICK_US);
+        let now_us = net.now_us;
+        for (index, node) in net.nodes.iter_mut().enumerate() {
+            if reads[index].is_some_and(|end_us| end_us <= now_us) {
+                node.fleet.set_revision(changed);
+            }
+            // The daemons compare at different moments.
+            if !(now_us + index as u64 * TICK_US).is_multiple_of(CHECK_US) {
+                continue;
+            }
+            let newest = node.fleet.newest_config().map(|newest| newest.revision);
+            let lag = trackers[index].check(node.fleet.local_member().revision, newest);
+            if lag.is_stalled && reads[index].is_none() {
+                reads[index] = Some(now_us + READ_US);
+            }
+        }
+    }
+    None
+}
+
+// Guards against a change that the calls of many daemons to the store have missed, and of which they
+// hear from their peers only after the time within which it must be in force.
+#[test]
+fn a_change_that_many_daemons_have_missed_is_in_force_in_time() {
+    for members in [14, 73, 300] {
+        let mut net = deployment(14, members);
+        net.run(10 * SECOND_US);
+        net.now_us = net.now_us.next_multiple_of(TICK_US);
+        net.loss_percent = 3;
+        let mut check = |case: &str, has_received: &dyn Fn(usize, &Node) -> bool| {
+            let took_us = spread_change(&mut net, has_received);
+            assert!(
+                took_us.is_some_and(|took_us| took_us <= PROPAGATION_US),
+                "{members} members, {case}: {took_us:?}"
+            );
+        };
+        for _ in 0..3 {
+            check("the other region", &|_, node| {
+                node.fleet.local_member().place.region.0 == "ost"
+            });
+            check("a data centre", &|_, node| {
+                node.fleet.data_centre().0 != "salzburg"
+            });
+            check("half", &|index, _| index % 2 == 0);
+            check("all but one", &|index, _| index == 1);
+        }
+    }
+}
+
+/// Load pattern: a change that all daemons receive from the store at about the same time.
+#[test]
+fn a_change_that_all_have_received_costs_each_daemon_two_datagrams_at_most() {
+    for members in [14, 300] {
+        let mut net = deployment(15, members);
+        net.run(20 * SECOND_US);
+        let sent = |net: &Net| net.nodes.iter().map(|node| node.sent_messages).sum::<u64>();
+        let mut sent_in = |change: Option<Revision>| {
+            let before = sent(&net);
+            for round in 0..5 {
+                for node in &mut net.nodes {
+                    if let Some(change) = change {
+                        node.fleet.set_revision(Revision(change.0 + round));
+                    }
+                }
+                net.run(SECOND_US);
+            }
+            (sent(&net) - before) as f64 / 5.0
+        };
+        let calm = sent_in(None);
+        let added = sent_in(Some(Revision(1))) - calm;
+        assert!(
+            added <= 2.0 * members as f64,
+            "{members} members: {added} datagrams for each change"
+        );
+    }
+}
+
 #[test]
 fn a_stored_record_replaces_only_older_ones() {
     let mut net = deployment(10, 8);
