--- a/tests/wire_store.rs
+++ b/tests/wire_store.rs
@@ -150,6 +150,8 @@
     assert_eq!(page.revision, 9);
     let keys = page.entries.iter().map(|entry| entry.key.as_str());
     assert_eq!(keys.collect::<Vec<_>>(), ["d/1", "d/2", "d/3", "d/4"]);
+    // The ones stated are no revisions, or absent.
+    assert!(page.entries.iter().all(|entry| entry.revision.is_none()));
     let watched = call_with(mixed("events"), async |store| {
         store.watch("d/", 7, 100).await.unwrap().value
     });
@@ -224,6 +226,12 @@
         let values: Vec<_> = entries.map(|entry| entry.value.as_slice()).collect();
         // The value that is not valid base64 is left out.
         assert_eq!(values, [b"a", b"b"]);
+        let revisions: Vec<_> = [first, second]
+            .iter()
+            .flat_map(|page| &page.entries)
+            .map(|entry| entry.revision)
+            .collect();
+        assert_eq!(revisions, [Some(4), Some(9)]);
     });
     assert_eq!(seen[0], "GET /shallotdeal/kv-range?Prefix=d%2F ");
     assert_eq!(
@@ -296,6 +304,42 @@
     });
 }
 
+// Guards against a read that replaces a watch on a silent connection and waits on another such
+// connection: connections fall silent together, while new ones work.
+#[test]
+fn a_call_after_one_without_an_answer_uses_a_new_connection() {
+    const SILENT_CONNECTIONS: usize = 2;
+    let answer = answer_with(br#"{"items":[],"Truncated":false,"StoreRevision":9}"#);
+    runtime::block_on(async {
+        let listener = conn::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let store = WireStore::new(listener.local_addr().unwrap());
+        let _server = runtime::spawn(async move {
+            let mut silent = Vec::new();
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let mut conn = Conn::new(stream).unwrap();
+                http::read_request(&mut conn, 65_536).await.unwrap();
+                if silent.len() < SILENT_CONNECTIONS {
+                    silent.push(conn);
+                    if silent.len() == SILENT_CONNECTIONS {
+                        for conn in &silent {
+                            conn.write_all(&answer).await.unwrap();
+                        }
+                    }
+                } else {
+                    conn.write_all(&answer).await.unwrap();
+                }
+            }
+        });
+        let list = || store.list("d/", "", Freshness::Latest);
+        let (first, second) = futures::join!(list(), list());
+        assert!(first.is_ok() && second.is_ok());
+        let watched = runtime::within(100, store.watch("d/", 9, 30_000)).await;
+        assert!(watched.is_none());
+        assert!(list().await.is_ok());
+    });
+}
+
 /// Length of an endless answer, far more than the client takes.
 const ENDLESS_BYTES: usize = 64 << 20;
 
