Take no answer without an attempt id for the own one

What callers saw: reported by operators of similar systems. A worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that it ran.

Cause: only a success had to carry the attempt id. A failure or a refusal without one was taken for the answer to the request that waited, so a repeated refusal made a promise for a request that the worker had in hand.

Evidence: pool::a_repeated_refusal_of_an_earlier_request_is_skipped (503, 429, 421 and 400, once and twice, alone and before the own answer) and pool::a_failure_without_an_attempt_id_is_refused failed on the code before. With the id of the earlier attempt a repeated refusal was skipped before too; those cases passed.

Fix: workers echo the attempt id, so an answer without one promises nothing. If it states that some request was not run, it is skipped and the own answer is awaited on the same connection, which is not reused; otherwise the outcome of the request is unknown.

--- a/src/mesh/pool.rs
+++ b/src/mesh/pool.rs
@@ -270,10 +270,13 @@
 
 /// Returns whether an answer belongs to this request.
 ///
+/// A statement that some request was not run, without an attempt id, may be a repeated refusal of an
+/// earlier request; the own answer still follows.
+///
 /// # Errors
 ///
-/// Fails if it is a success that does not carry the worker's stamp or the attempt id, or that is
-/// encoded.
+/// Fails if it is a success that does not carry the worker's stamp or that is encoded, or another
+/// answer without an attempt id, which may belong to any request.
 fn is_answer_to(
     head: &Head,
     metadata: AnswerMetadata<'_>,
@@ -286,7 +289,8 @@
         Some(_) if is_success && (!metadata.is_stamped || is_encoded) => {
             Err(MessageError::Malformed)
         }
-        None if is_success => Err(MessageError::Malformed),
-        _ => Ok(true),
+        Some(_) => Ok(true),
+        None if metadata.is_not_run => Ok(false),
+        None => Err(MessageError::Malformed),
     }
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -355,3 +355,91 @@
         }
     }
 }
+
+/// Refusal with these fields, which states that its request was not run.
+fn refusal(status_line: &str, fields: &str) -> String {
+    format!(
+        "HTTP/1.1 {status_line}\r\n{fields}X-Shallotdeal-Not-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+const REFUSALS: [&str; 4] = [
+    "503 Service Unavailable",
+    "429 Too Many Requests",
+    "421 Misdirected Request",
+    "400 Bad Request",
+];
+
+/// Fields of an answer that name another attempt, or none.
+const OTHER_ATTEMPTS: [&str; 2] = ["X-Shallotdeal-Attempt-Id: earlier\r\n", ""];
+
+// Guards against a refusal of an earlier request, written once more on a kept connection, that is taken
+// for the answer to a request which the worker runs.
+#[test]
+fn a_repeated_refusal_of_an_earlier_request_is_skipped() {
+    let own = answer_with("HTTP/1.1 200 OK");
+    for status_line in REFUSALS {
+        for fields in OTHER_ATTEMPTS {
+            let repeated = refusal(status_line, fields);
+            for copies in 1..=2 {
+                let answer = repeated.repeat(copies) + &own;
+                assert_eq!(
+                    exchange_short(&answer),
+                    Ok(b"body".to_vec()),
+                    "{status_line}, {fields:?}, {copies} copies"
+                );
+            }
+            assert_eq!(
+                exchange_short(&repeated),
+                Err(ExchangeErrorKind::ConnectionLost),
+                "{status_line}, {fields:?}, without an own answer"
+            );
+        }
+    }
+}
+
+// Guards against a failure that names no attempt, and so may belong to an earlier request.
+#[test]
+fn a_failure_without_an_attempt_id_is_refused() {
+    for status_line in [
+        "500 Internal Server Error",
+        "504 Gateway Timeout",
+        "404 Not Found",
+    ] {
+        let answer = format!("HTTP/1.1 {status_line}\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(
+            exchange_short(&answer),
+            Err(ExchangeErrorKind::InvalidAnswer),
+            "{status_line}"
+        );
+    }
+}
+
+#[test]
+fn the_own_refusal_is_returned() {
+    for status_line in REFUSALS {
+        let answer = refusal(status_line, "X-Shallotdeal-Attempt-Id: id\r\n");
+        assert_eq!(exchange_short(&answer), Ok(Vec::new()), "{status_line}");
+    }
+}
+
+// Guards against an answer whose head ends early and that counts as a complete one without a body.
+#[test]
+fn an_answer_that_ends_within_its_head_is_not_complete() {
+    for answer in [
+        answer_with("HTTP/1.1 200 OK"),
+        format!("{HEAD}Content-Length: 0\r\n\r\n"),
+        format!("{HEAD}\r\nbody"),
+    ] {
+        let head_bytes = answer.find("\r\n\r\n").unwrap() + 4;
+        for cut in 1..head_bytes {
+            assert_eq!(
+                exchange_short(&answer[..cut]),
+                Err(ExchangeErrorKind::ConnectionLost),
+                "{:?}",
+                &answer[..cut]
+            );
+        }
+    }
+}
