Test that a response whose head ends early is no answer

Reported by operators of similar systems: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Heads cut at each byte, with a length, chunked and without a body, were refused by the client of backend servers on the code before; the test stays. No code has changed.

--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -166,6 +166,27 @@
     }
 }
 
+// Guards against a response whose head ends early and that counts as a complete one without a body.
+#[test]
+fn responses_that_end_within_their_head_are_errors() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nname: value\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nname: value\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    ];
+    let mut taken = Vec::new();
+    for head in heads {
+        for cut in 1..head.len() {
+            let script = vec![Step::Write(&head[..cut]), Step::Close];
+            if let Ok(answer) = run_script(script) {
+                taken.push((&head[..cut], answer.status, answer.body));
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{taken:?}");
+}
+
 #[test]
 fn responses_with_an_invalid_status_are_errors() {
     for status in [
