Ask peers for a configuration only when the store does not bring it

What callers saw: nothing by itself.

Cause: each pong with a newer version asked that peer for the whole document at once, on each link, and a daemon that was behind in two checks asked too, although its watch brought each version a moment later.

Fix: one decision for all reports, with the time as an argument.

--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -123,15 +123,15 @@
         sleep_ms(CONFIG_CHECK_MS).await;
         let in_force = Revision(mesh.config_version().0);
         let newest = mesh.fleet.borrow().newest_config().cloned();
-        let lag = tracker.check(in_force, newest.as_ref().map(|newest| newest.revision));
-        if lag.is_stalled {
+        let reported = newest.as_ref().map(|newest| newest.revision);
+        if tracker.is_stalled(in_force, reported) {
             mesh.registry
                 .replace_watch("peers have a newer configuration");
         }
         let Some(newest) = newest.filter(|newest| newest.revision > in_force) else {
             continue;
         };
-        if !lag.is_behind && mesh.is_ready() {
+        if !mesh.is_config_request_due(newest.revision, now_us()) {
             continue;
         }
         let NewestConfig {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -58,6 +58,7 @@
     event_listener::Event,
     frame::Message,
     gate::LocalGate,
+    lag::ConfigRequests,
     latency::Latencies,
     link::{Link, Outbox},
     pool::Pool,
@@ -103,6 +104,10 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Document of the configuration in force, for peers that cannot reach the store.
     config_document: RefCell<Vec<u8>>,
+    /// Origin of the configuration in force.
+    config_source: Cell<Option<ConfigSource>>,
+    /// Requests to peers for newer configurations.
+    config_requests: RefCell<ConfigRequests>,
     /// Choice of a service for each request, by the weights of its route.
     pub round_robin: RefCell<WeightedRoundRobin>,
     /// Daemons of the deployment and their workers.
@@ -217,6 +222,8 @@
             latencies: Latencies::default(),
             routes: RefCell::default(),
             config_document: RefCell::default(),
+            config_source: Cell::new(None),
+            config_requests: RefCell::default(),
             round_robin: RefCell::default(),
             fleet: RefCell::new(fleet),
             directory: RefCell::new(directory),
@@ -349,6 +356,7 @@
         self.quotas.apply(&table.organisations);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         *self.config_document.borrow_mut() = document.to_vec();
+        self.config_source.set(Some(source));
         true
     }
 
@@ -377,8 +385,16 @@
     }
 
     fn compare_version(&self, version: u64, outbox: &Outbox) {
-        if version > self.config_version().0 {
+        if self.is_config_request_due(Revision(version), now_us()) {
             outbox.push(&Message::ConfigWanted, &[]);
         }
     }
+
+    /// Returns whether to ask the peer that has reported a configuration for it now.
+    fn is_config_request_due(&self, reported: Revision, now_us: u64) -> bool {
+        let in_force = Revision(self.config_version().0);
+        let source = self.config_source.get();
+        let mut requests = self.config_requests.borrow_mut();
+        requests.is_due(in_force, source, reported, now_us)
+    }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -318,8 +318,9 @@
                 continue;
             }
             let newest = node.fleet.newest_config().map(|newest| newest.revision);
-            let lag = trackers[index].check(node.fleet.local_member().revision, newest);
-            if lag.is_stalled && reads[index].is_none() {
+            let in_force = node.fleet.local_member().revision;
+            let is_stalled = trackers[index].is_stalled(in_force, newest);
+            if is_stalled && reads[index].is_none() {
                 reads[index] = Some(now_us + READ_US);
             }
         }
