Close idle connections of the own interface's store client after a call without an answer

Cause: after a call without an answer, the next one took an idle connection, which may have fallen silent with the first, and waited for its time limit of 2 s again.

Evidence: broken_answers::a_call_to_the_store_after_one_without_an_answer_uses_a_new_connection (lab/tests) failed on the code before.

--- a/lab/tests/broken_answers.rs
+++ b/lab/tests/broken_answers.rs
@@ -129,3 +129,39 @@
         });
     }
 }
+
+// Guards against a call that waits on a silent connection after another call has found one silent:
+// connections fall silent together, while new ones work.
+#[test]
+fn a_call_to_the_store_after_one_without_an_answer_uses_a_new_connection() {
+    const SILENT_CONNECTIONS: usize = 2;
+    let complete = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    );
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let store = HttpStore::new(listener.local_addr().expect("an address"));
+        task::spawn(async move {
+            let mut silent = Vec::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                stream.read(&mut [0; 4_096]).await.expect("a request");
+                if silent.len() == SILENT_CONNECTIONS {
+                    stream.write_all(complete.as_bytes()).await.expect("sent");
+                    continue;
+                }
+                silent.push(stream);
+                if silent.len() == SILENT_CONNECTIONS {
+                    for stream in &mut silent {
+                        stream.write_all(complete.as_bytes()).await.expect("sent");
+                    }
+                }
+            }
+        });
+        let (first, second) = futures::join!(store.grant(1_000), store.grant(1_000));
+        assert!(first.is_ok() && second.is_ok());
+        assert!(store.grant(1_000).await.is_err());
+        assert_eq!(store.grant(1_000).await.expect("a lease"), LeaseId(7));
+    });
+}
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -14,6 +14,7 @@
     futures::FutureExt,
     http_types::{Body, Method, Request, StatusCode, Url, headers::CONTENT_TYPE},
     parking_lot::Mutex,
+    scopeguard::ScopeGuard,
     smol_str::{SmolStr, ToSmolStr, format_smolstr},
     std::{fmt::Display, future::Future, net::SocketAddr, time::Duration},
 };
@@ -66,6 +67,8 @@
     async fn exchange(&self, call: &Call, head_timeout_ms: u32) -> Result<Answer, ExchangeError> {
         let request = self.request(call).map_err(ExchangeError::NoEffect)?;
         let framed = Framed::new(self.connection().await?);
+        // Connections fall silent together, so the idle ones are in doubt without an answer.
+        let doubt = scopeguard::guard((), |()| self.idle.lock().clear());
         let mut head = with_timeout(head_timeout_ms, response::send(&framed, request))
             .await
             .map_err(ExchangeError::MaybeApplied)?;
@@ -73,6 +76,7 @@
         let body = with_timeout(RESPONSE_TIMEOUT_MS, reading)
             .await
             .map_err(ExchangeError::MaybeApplied)?;
+        ScopeGuard::into_inner(doubt);
         if response::is_reusable(&framed, &head) {
             self.keep_idle(framed.stream().clone());
         }
