Start with any positive propagation time

What operators would see: a daemon did not start on a deployment whose changes must be in force within less than a second, and a very long time overflowed the time limit of a watch.

The setting now takes any positive number. The part of it that a watch waits, and its answer may take, is limited to 250 ms to 2.5 s instead.

--- a/src/mesh/cursor.rs
+++ b/src/mesh/cursor.rs
@@ -21,6 +21,12 @@
 /// changes, as long for its answer, and the rest for the read that replaces it.
 const PROPAGATION_PARTS: u64 = 4;
 
+/// Shortest such part. A slow store needs most of it for an answer to another region.
+const MIN_PART_MS: u64 = 250;
+
+/// Longest such part, as nothing is gained by a later finding.
+const MAX_PART_MS: u64 = 2_500;
+
 /// Longest wait of one watch that the platform allows.
 const MAX_WAIT_MS: u64 = 30_000;
 
@@ -65,7 +71,7 @@
     /// Begins with a read. A change must be in force within `propagation_ms`.
     pub fn new(propagation_ms: u64) -> Self {
         Self {
-            part_ms: propagation_ms / PROPAGATION_PARTS,
+            part_ms: (propagation_ms / PROPAGATION_PARTS).clamp(MIN_PART_MS, MAX_PART_MS),
             revision: None,
             stated: None,
             is_behind: false,
@@ -79,14 +85,14 @@
         match self.revision {
             Some(after) if !self.is_behind => {
                 let wait_ms = if self.is_frequent {
-                    self.part_ms.min(MAX_WAIT_MS)
+                    self.part_ms
                 } else {
                     MAX_WAIT_MS
                 };
                 NextCall::Watch {
                     after,
                     wait_ms,
-                    limit_ms: wait_ms.saturating_add(self.part_ms),
+                    limit_ms: wait_ms + self.part_ms,
                 }
             }
             _ => NextCall::Read,
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -24,9 +24,6 @@
 /// Time within which a change of the configuration must be in force, unless set.
 const DEFAULT_PROPAGATION_MS: f64 = 2_000.0;
 
-/// Shortest such time that can be set. Shorter ones leave no time for the answers of a slow store.
-const MIN_PROPAGATION_MS: f64 = 1_000.0;
-
 /// Returns whether a settings file is for a daemon on the platform.
 pub fn is_mesh(text: &str) -> bool {
     Ini::load_from_str(text).is_ok_and(|ini| ini.section(Some(SECTION)).is_some())
@@ -131,7 +128,7 @@
         let service = self.get::<SmolStr>("service");
         let store_addr = self.get("store");
         let lease_min_ms = self.get("lease-min-ms");
-        let propagation_ms = self.propagation_ms();
+        let propagation_ms = self.positive_or("propagation-ms", DEFAULT_PROPAGATION_MS);
         let grace_s = self.positive("grace-s");
         let ratio = self.positive("retry-ratio");
         let window_s = self.positive("retry-window-s");
@@ -151,7 +148,7 @@
             service: service?,
             store_addr: store_addr?,
             lease_min_ms: lease_min_ms?,
-            propagation_ms: propagation_ms?,
+            propagation_ms: propagation_ms? as u64,
             grace_ms: (grace_s? * 1_000.0) as u64,
             retry_budget: RetryBudgetRules {
                 ratio: ratio?,
@@ -171,19 +168,6 @@
         None
     }
 
-    fn propagation_ms(&mut self) -> Option<u64> {
-        let key = "propagation-ms";
-        let value = self.positive_or(key, DEFAULT_PROPAGATION_MS)?;
-        if value < MIN_PROPAGATION_MS {
-            self.record_error(
-                key,
-                format_smolstr!("{value} is less than {MIN_PROPAGATION_MS}"),
-            );
-            return None;
-        }
-        Some(value as u64)
-    }
-
     /// Value of a key that may be missing or empty, as on platforms without quotas.
     fn positive_or(&mut self, key: &'static str, default: f64) -> Option<f64> {
         let text = self.ini.get_from(Some(SECTION), key).map(str::trim);
