Refuse a response of a backend server that names another call

What callers saw: reported by operators of similar systems for the users' platform; looked for on the own interface. A backend server that writes an earlier response once more on a kept connection, as the next request runs and before its own response, was believed.

Cause: responses on the own interface carry no identity, so any response was taken for that of the call that runs.

Evidence: backend::a_response_that_names_another_call_is_an_error failed on the code before.

Fix: a backend server may repeat the Call-Id of the call in its answer. One that names another call is invalid, and the outcome of the call is unknown. Answers without it are taken as before, as existing backend servers do not send it; for those the fault remains. The lab's backend server sends it.

--- a/lab/src/backend/server.rs
+++ b/lab/src/backend/server.rs
@@ -144,7 +144,12 @@
         };
         let body = request.body_bytes().await?;
         let run = Run::new(&self, &request, spec);
-        Ok(run.execute(&body, &stream).await)
+        let call_id = run.call_id.clone();
+        let mut response = run.execute(&body, &stream).await;
+        if let Some(call_id) = call_id {
+            response.insert_header(CALL_ID, call_id.as_str());
+        }
+        Ok(response)
     }
 
     /// Returns the path within the service. Calls sent directly by a caller still include the
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -20,6 +20,9 @@
 /// Timeout for connecting to a backend server on the same VM.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
+/// Header with the ID of a call.
+const CALL_ID: &str = "call-id";
+
 /// Maximum number of idle connections kept open.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
@@ -131,7 +134,15 @@
         request: http_types::Request,
     ) -> Result<Answer, ResponseError> {
         let is_head = request.method() == Method::Head;
+        let own_id = request.header(CALL_ID).map(|own| own.last().to_smolstr());
         let mut head = response::send(&framed, request).await?;
+        if let Some(named) = head.header(CALL_ID)
+            && named
+                .iter()
+                .any(|id| own_id.as_deref() != Some(id.as_str()))
+        {
+            return Err(ResponseError::invalid("the response names another call"));
+        }
         let body = response::read_body(&framed, &mut head, is_head, self.max_body_bytes).await?;
         if response::is_reusable(&framed, &head) {
             self.keep_idle(addr, framed.stream().clone());
@@ -217,7 +228,7 @@
     for header in &request.headers {
         outgoing.append_header(header.name.as_str(), header.value.as_str());
     }
-    outgoing.insert_header("call-id", context.call_id.as_str());
+    outgoing.insert_header(CALL_ID, context.call_id.as_str());
     outgoing.insert_header("request-id", context.request_id.as_str());
     outgoing.insert_header("request-class", context.class.as_str());
     let deadline = context.deadline_unix_ms.to_string();
@@ -227,7 +238,7 @@
 
 /// Headers that concern a single connection, or that the daemon itself evaluates or sets.
 const HOP_HEADERS: &[&str] = &[
-    "call-id",
+    CALL_ID,
     "connection",
     "content-length",
     "expect",
--- a/src/response.rs
+++ b/src/response.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    fn invalid(detail: impl Into<SmolStr>) -> Self {
+    /// Creates the failure of a response that is malformed or not the expected one.
+    pub fn invalid(detail: impl Into<SmolStr>) -> Self {
         Self::Invalid {
             detail: detail.into(),
         }
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -388,6 +388,27 @@
     assert_eq!(run(&backend, addr, "POST").unwrap().body, b"next");
 }
 
+// Guards against a response to an earlier call, written once more on a kept connection, that is taken
+// for the response to the call that runs.
+#[test]
+fn a_response_that_names_another_call_is_an_error() {
+    let response = |call_id| -> &'static str {
+        let text = format!("HTTP/1.1 503 Busy\r\n{call_id}content-length: 0\r\n\r\n");
+        Box::leak(text.into())
+    };
+    for (call_id, is_own) in [
+        ("call-id: c\r\n", true),
+        ("call-id: earlier\r\n", false),
+        ("call-id: c\r\ncall-id: earlier\r\n", false),
+        // Backend servers need not name the call.
+        ("", true),
+    ] {
+        let result = run_script(vec![Step::Write(response(call_id)), Step::Stall]);
+        assert_eq!(result.is_ok(), is_own, "{call_id:?}: {result:?}");
+        assert!(is_own || result.unwrap_err().may_have_run, "{call_id:?}");
+    }
+}
+
 #[test]
 fn a_closed_idle_connection_is_not_reused() {
     let (addr, events) = server(vec![
