Keep log lines about the configuration when lines of requests are dropped

Cause: all lines wait in one queue of 8,192, which drops new ones when it is full.

Evidence: logs::lines_about_state_are_kept_when_lines_of_requests_are_dropped failed on the code before.

Fix: lines with the target of the state, about the configuration and the store, have a queue of their own. Both queues write complete lines to the same output. The rate of each kind of line is limited as before.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -16,10 +16,11 @@
     tracing::{
         Event, Level, Metadata, Subscriber, callsite::Identifier, level_filters::LevelFilter,
     },
-    tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
+    tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard},
     tracing_subscriber::{
         FmtSubscriber, Layer,
         layer::{Context, Filter, SubscriberExt},
+        registry::LookupSpan,
         util::SubscriberInitExt,
     },
 };
@@ -28,6 +29,13 @@
 /// request.
 const MAX_BUFFERED_LINES: usize = 8_192;
 
+/// Target of lines that tell what a daemon believes, as the configuration in force. They are buffered
+/// apart, so that lines of requests do not displace them.
+pub const STATE: &str = "state";
+
+/// Buffered lines about the state.
+const MAX_BUFFERED_STATE_LINES: usize = 1_024;
+
 /// Maximum number of lines per second from one place in the source; further ones are left out and
 /// counted. The limit is above the 420 calls per second that a VM serves at normal load, so that
 /// lines are left out only under overload.
@@ -59,7 +67,7 @@
 /// Log of a platform daemon; buffered lines are written when it is dropped.
 #[derive(Debug)]
 pub struct MeshLog {
-    _writer: WorkerGuard,
+    _writers: [WorkerGuard; 2],
     /// Counts of the lines that were left out.
     pub dropped_lines: DroppedLines,
 }
@@ -76,16 +84,45 @@
     level: Level,
     writer: impl Write + Send + 'static,
 ) -> (MeshLog, impl Subscriber + Send + Sync) {
-    let (writer, guard) = NonBlockingBuilder::default()
-        .buffered_lines_limit(MAX_BUFFERED_LINES)
-        .lossy(true)
-        .finish(BatchWriter(BufWriter::with_capacity(BATCH_BYTES, writer)));
+    let writer = SharedWriter(Arc::new(Mutex::new(writer)));
+    let (requests, requests_guard) = buffered(writer.clone(), MAX_BUFFERED_LINES);
+    let (state, state_guard) = buffered(writer, MAX_BUFFERED_STATE_LINES);
     let dropped_lines = DroppedLines {
-        unwritten: writer.error_counter(),
+        unwritten: [requests.error_counter(), state.error_counter()],
         reported: Arc::default(),
         kinds: Arc::default(),
     };
-    let lines = tracing_subscriber::fmt::layer()
+    let filter = |is_state| LineFilter {
+        is_state,
+        limits: dropped_lines.clone(),
+    };
+    let subscriber = tracing_subscriber::registry()
+        .with(LevelFilter::from_level(level))
+        .with(json_lines(requests).with_filter(filter(false)))
+        .with(json_lines(state).with_filter(filter(true)));
+    let log = MeshLog {
+        _writers: [requests_guard, state_guard],
+        dropped_lines,
+    };
+    (log, subscriber)
+}
+
+/// Creates a writer that never blocks, and drops lines when so many are buffered.
+fn buffered<W: Write + Send + 'static>(
+    writer: SharedWriter<W>,
+    max_lines: usize,
+) -> (NonBlocking, WorkerGuard) {
+    NonBlockingBuilder::default()
+        .buffered_lines_limit(max_lines)
+        .lossy(true)
+        .finish(BatchWriter(BufWriter::with_capacity(BATCH_BYTES, writer)))
+}
+
+fn json_lines<S>(writer: NonBlocking) -> impl Layer<S>
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+{
+    tracing_subscriber::fmt::layer()
         .with_writer(writer)
         .with_ansi(false)
         .with_target(false)
@@ -93,15 +130,26 @@
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
-        .with_filter(dropped_lines.clone());
-    let subscriber = tracing_subscriber::registry()
-        .with(LevelFilter::from_level(level))
-        .with(lines);
-    let log = MeshLog {
-        _writer: guard,
-        dropped_lines,
-    };
-    (log, subscriber)
+}
+
+/// Writer of two buffers. Each write is complete, so that the lines of both do not mix.
+struct SharedWriter<W>(Arc<Mutex<W>>);
+
+impl<W> Clone for SharedWriter<W> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<W: Write> Write for SharedWriter<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().write_all(bytes)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.lock().flush()
+    }
 }
 
 /// Writer that collects the lines of a short time into one write.
@@ -148,7 +196,7 @@
 /// Log lines that were left out because they exceeded the rate limit or the reader was too slow.
 #[derive(Debug, Clone)]
 pub struct DroppedLines {
-    unwritten: ErrorCounter,
+    unwritten: [ErrorCounter; 2],
     reported: Arc<AtomicU64>,
     kinds: Arc<Mutex<HashMap<Identifier, LineKind>>>,
 }
@@ -156,7 +204,8 @@
 impl DroppedLines {
     /// Lines dropped since the start because the reader was too slow.
     pub fn unwritten(&self) -> u64 {
-        self.unwritten.dropped_lines() as u64
+        let counters = self.unwritten.iter();
+        counters.map(|counter| counter.dropped_lines() as u64).sum()
     }
 
     /// Logs the number of lines left out since the last call, if any were.
@@ -180,14 +229,21 @@
     }
 }
 
-impl<S> Filter<S> for DroppedLines {
-    fn enabled(&self, _metadata: &Metadata<'_>, _context: &Context<'_, S>) -> bool {
-        true
+/// Admits the lines of one buffer at a limited rate.
+struct LineFilter {
+    /// Whether it is the buffer of lines with the target [`STATE`].
+    is_state: bool,
+    limits: DroppedLines,
+}
+
+impl<S> Filter<S> for LineFilter {
+    fn enabled(&self, metadata: &Metadata<'_>, _context: &Context<'_, S>) -> bool {
+        (metadata.target() == STATE) == self.is_state
     }
 
     fn event_enabled(&self, event: &Event<'_>, _context: &Context<'_, S>) -> bool {
         let metadata = event.metadata();
-        let mut kinds = self.kinds.lock();
+        let mut kinds = self.limits.kinds.lock();
         let kind = kinds
             .entry(metadata.callsite())
             .or_insert_with(|| LineKind {
--- a/src/mesh/gossip.rs
+++ b/src/mesh/gossip.rs
@@ -10,6 +10,7 @@
             message::{MAX_DATAGRAM_BYTES, Message, Outgoing},
             report::Event,
         },
+        logs::STATE,
         mesh::{
             Mesh, frame,
             lag::LagTracker,
@@ -139,7 +140,7 @@
             call_addr,
             ..
         } = newest;
-        tracing::info!(version = revision.0, peer = %call_addr, "fetching a newer configuration");
+        tracing::info!(target: STATE, version = revision.0, peer = %call_addr, "fetching a newer configuration");
         mesh.metrics.count("config.fetched");
         let link = mesh.link(call_addr);
         if let Err(error) = link.notify(&mesh, &frame::Message::ConfigWanted).await {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -45,6 +45,7 @@
         collections::HashMap,
         config::{Config, Revision},
         fleet::{Fleet, member::Generation},
+        logs::STATE,
         metrics::Metrics,
         place::Place,
         policy::{
@@ -338,7 +339,7 @@
             Ok(table) => table,
             Err(error) => {
                 self.metrics.count("config.refused");
-                tracing::warn!(%error, %source, in_force = %self.config_version(),
+                tracing::warn!(target: STATE, %error, %source, in_force = %self.config_version(),
                     "malformed configuration ignored");
                 return false;
             }
@@ -347,7 +348,7 @@
         if self.routes.borrow().is_some() && table.version <= in_force {
             return false;
         }
-        tracing::info!(version = %table.version, replaced = %in_force, %source,
+        tracing::info!(target: STATE, version = %table.version, replaced = %in_force, %source,
             routes = table.len(), organisations = table.organisations.len(), bytes = document.len(), "configuration in force");
         self.metrics.count(source.counter());
         self.fleet
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -15,6 +15,7 @@
 
 use {
     crate::{
+        logs::STATE,
         mesh::{
             ConfigSource, Mesh,
             cursor::{ConfigCursor, NextCall},
@@ -116,7 +117,7 @@
     /// Replaces a waiting watch of the configuration by a read, as it may be lost.
     pub fn replace_watch(&self, cause: &'static str) {
         if self.is_watch_waiting.replace(false) {
-            tracing::info!(
+            tracing::info!(target: STATE,
                 cause,
                 "watch of the configuration may be lost; newest version is read"
             );
@@ -134,7 +135,7 @@
         match self.era.borrow_mut().check(era.as_deref()) {
             EraCheck::Current => {}
             EraCheck::Risen { from, to } => {
-                tracing::warn!(%from, %to, "store has come back from an older copy; \
+                tracing::warn!(target: STATE, %from, %to, "store has come back from an older copy; \
                     own entry is written and all entries are read again");
                 self.rises.set(self.rises.get() + 1);
                 self.watch_outdated.notify(usize::MAX);
@@ -162,7 +163,7 @@
             }
         }
         if self.is_store_lost.replace(false) {
-            tracing::info!("store regained");
+            tracing::info!(target: STATE, "store regained");
             self.wake();
         }
         Ok(value)
@@ -185,7 +186,7 @@
 
     fn record_failure(&self, error: &StoreError) {
         if !self.is_store_lost.replace(true) {
-            tracing::warn!(%error, "store lost");
+            tracing::warn!(target: STATE, %error, "store lost");
         }
         if matches!(error, StoreError::Uncertain { .. }) {
             self.replace_watch("another call got no answer");
@@ -369,7 +370,7 @@
                 backoff = Backoff::new();
             }
             Some(Err(error)) => {
-                tracing::info!(%error, call = ?cursor.next_call(),
+                tracing::info!(target: STATE, %error, call = ?cursor.next_call(),
                     took_us = now_us().saturating_sub(started_us), "call for the configuration failed");
                 mesh.metrics.count("config.watch_failed");
                 mesh.registry.record_watch(true);
@@ -405,7 +406,7 @@
             let entry = page.entries.iter().find(|entry| entry.key == key);
             // Without an entry, the whole history is what this daemon has not received.
             let written = entry.map_or(Some(0), |entry| entry.revision);
-            tracing::info!(
+            tracing::info!(target: STATE,
                 revision = page.revision,
                 written,
                 is_newer,
@@ -433,14 +434,14 @@
     });
     match mesh.registry.accept(step, watched)? {
         WatchResult::Compacted => {
-            tracing::info!(
+            tracing::info!(target: STATE,
                 after,
                 "history of the configuration is gone; newest version is read"
             );
             cursor.reset();
         }
         WatchResult::Changes { changes, revision } => {
-            tracing::info!(
+            tracing::info!(target: STATE,
                 after,
                 revision,
                 versions = changes.len(),
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -3,9 +3,9 @@
 mod writers;
 
 use {
-    shallotdeal::logs::mesh_log,
-    std::sync::mpsc,
-    writers::{SharedBuffer, StalledWriter},
+    shallotdeal::logs::{STATE, mesh_log},
+    std::{sync::mpsc, thread, time::Duration},
+    writers::{SharedBuffer, StalledThen, StalledWriter},
 };
 
 #[test]
@@ -44,15 +44,7 @@
     let (release, stalled) = mpsc::channel();
     let (log, subscriber) = mesh_log(tracing::Level::INFO, StalledWriter(stalled));
     tracing::subscriber::with_default(subscriber, || {
-        // Far more lines than are buffered: the loop would not end if logging blocked.
-        macro_rules! lines {
-            ($($kind:literal)*) => {$(
-                for number in 0..600 {
-                    tracing::info!(number, $kind);
-                }
-            )*};
-        }
-        lines!("a" "b" "c" "d" "e" "f" "g" "h" "i" "j" "k" "l" "m" "n" "o" "p" "q" "r" "s" "t");
+        log_more_than_is_buffered();
         assert!(
             log.dropped_lines.unwritten() >= 3_000,
             "{}",
@@ -61,3 +53,39 @@
     });
     drop(release);
 }
+
+/// Logs far more lines than are buffered for a reader that has stopped. Does not end if logging blocks.
+fn log_more_than_is_buffered() {
+    macro_rules! lines {
+        ($($kind:literal)*) => {$(
+            for number in 0..600 {
+                tracing::info!(number, $kind);
+            }
+        )*};
+    }
+    lines!("a" "b" "c" "d" "e" "f" "g" "h" "i" "j" "k" "l" "m" "n" "o" "p" "q" "r" "s" "t");
+}
+
+// Guards against a log without the line of a configuration that has come into force, so that its reader
+// sees a lag that did not happen.
+#[test]
+fn lines_about_state_are_kept_when_lines_of_requests_are_dropped() {
+    let output = SharedBuffer::default();
+    let (release, stalled) = mpsc::channel();
+    let writer = StalledThen(StalledWriter(stalled), output.clone());
+    let (log, subscriber) = mesh_log(tracing::Level::INFO, writer);
+    tracing::subscriber::with_default(subscriber, || {
+        log_more_than_is_buffered();
+        tracing::info!(target: STATE, version = 7, "configuration in force");
+    });
+    drop(release);
+    let is_kept = || output.text().contains("configuration in force");
+    for _ in 0..1_000 {
+        if is_kept() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert!(is_kept(), "{} bytes", output.text().len());
+    drop(log);
+}
--- a/tests/writers/mod.rs
+++ b/tests/writers/mod.rs
@@ -1,4 +1,8 @@
 //! Writers for logs under test.
+#![allow(
+    dead_code,
+    reason = "shared by several test files, each of which uses only a part"
+)]
 
 use std::{
     io::{self, Write},
@@ -40,3 +44,17 @@
         Ok(())
     }
 }
+
+/// Writer that blocks as a [`StalledWriter`] does, and then keeps what is written.
+pub(crate) struct StalledThen(pub(crate) StalledWriter, pub(crate) SharedBuffer);
+
+impl Write for StalledThen {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes)?;
+        self.1.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
