--- a/review/standin-2/lib.rs
+++ b/review/standin-2/lib.rs
@@ -90,17 +90,28 @@
     }
 }
 
+/// Ports that are tried: below those that the system gives to outgoing connections, so that a daemon
+/// finds its ports free when it starts again.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 18_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Loopback addresses whose ports are free for TCP and UDP.
 pub fn free_addrs(count: usize) -> Vec<SocketAddr> {
-    let mut held = Vec::new();
-    while held.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let addr = listener.local_addr().expect("an address");
-        if let Ok(socket) = UdpSocket::bind(addr) {
-            held.push((addr, listener, socket));
+    let first = (std::process::id() * 61) % u32::from(PORTS);
+    let mut found = Vec::new();
+    for _ in 0..PORTS {
+        let offset = (first + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % u32::from(PORTS);
+        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            found.push(addr);
+        }
+        if found.len() == count {
+            return found;
         }
     }
-    held.into_iter().map(|(addr, _, _)| addr).collect()
+    panic!("no free ports");
 }
 
 /// HTTP message: start line, header fields and body.
@@ -334,6 +345,8 @@
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
     history: Vec<(u64, String, String)>,
+    /// Whether all calls are refused.
+    is_down: bool,
 }
 
 impl StoreState {
@@ -408,6 +421,23 @@
         self.state.1.notify_all();
     }
 
+    /// Begins an outage, in which all calls are refused and waiting ones cut; leases run out meanwhile.
+    pub fn begin_outage(&self) {
+        let mut state = lock(&self.state.0);
+        state.is_down = true;
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        for lease in leases {
+            state.end_lease(lease);
+        }
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Ends an outage.
+    pub fn end_outage(&self) {
+        lock(&self.state.0).is_down = false;
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else {
@@ -416,7 +446,11 @@
         let mut reader = BufReader::new(reading);
         let mut stream = stream;
         while let Some(request) = read_request(&mut reader) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = if lock(&self.state.0).is_down {
+                (503, String::new())
+            } else {
+                self.answer(&request)
+            };
             let answer = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -455,6 +489,9 @@
                     let events = state.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
                     let events: Vec<String> = events.map(|(_, _, event)| event.clone()).collect();
                     let now = Instant::now();
+                    if state.is_down {
+                        return (503, String::new());
+                    }
                     if !events.is_empty() || now >= until {
                         let text = events.join(",");
                         return (200, format!("{{\"events\":[{text}],\"StoreRevision\":{}}}", state.revision));
@@ -561,6 +598,15 @@
     )
 }
 
+/// Adds a tenant with a usage cap to a configuration document.
+pub fn with_tenant(document: &str, name: &str, key: &str, rate_per_s: u64, burst: u64) -> String {
+    let document = document.strip_suffix('}').expect("the document is an object");
+    format!(
+        "{document},\"Tenants\":[{{\"Name\":\"{name}\",\"ApiKeys\":[\"{key}\"],\"Priority\":0,\
+         \"RatePerS\":{rate_per_s},\"Burst\":{burst}}}]}}"
+    )
+}
+
 /// Machine with one worker and one daemon.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -968,12 +1014,16 @@
     pub body: Arc<Vec<u8>>,
     /// Rate at which the client reads, in bytes a second; zero for no limit.
     pub read_rate: u64,
+    /// API key of the client's tenant.
+    pub key: Option<&'static str>,
 }
 
 /// What a client has seen.
 #[derive(Debug, Clone)]
 pub struct Seen {
     pub attempt_id: String,
+    /// Time before the connection was opened.
+    pub sent: Instant,
     /// Status; zero if no head arrived.
     pub status: u16,
     /// Whether the whole answer arrived.
@@ -998,6 +1048,7 @@
     let started = Instant::now();
     let mut seen = Seen {
         attempt_id: attempt_id(),
+        sent: started,
         status: 0,
         is_complete: false,
         body_bytes: 0,
@@ -1023,6 +1074,9 @@
         "{} {} HTTP/1.1\r\nHost: {}\r\nX-Shallotdeal-Attempt-Id: {}\r\nX-Shallotdeal-Deadline-Remaining: {}\r\n",
         request.method, request.path, request.host, seen.attempt_id, request.budget_ms
     );
+    if let Some(key) = request.key {
+        head += &format!("Authorization: Token {key}\r\n");
+    }
     if !request.body.is_empty() {
         head += &format!("Content-Length: {}\r\n", request.body.len());
     }
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -100,6 +100,7 @@
             budget_ms: 5_500,
             body: Arc::new(vec![b'b'; play.request_bytes]),
             read_rate: if has_trouble() { play.client_rate } else { 0 },
+            key: None,
         };
         let gap_ms = play.gap_ms;
         thread::spawn(move || send_steadily(&machine, &request, gap_ms, &counts, &is_over, &record));
