--- a/review/standin-2/lib.rs
+++ b/review/standin-2/lib.rs
@@ -46,7 +46,9 @@
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 /// Record of what was sent, answered and run.
@@ -124,7 +126,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(field, _)| field.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(field, _)| field.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -157,7 +162,9 @@
             return Some(message);
         }
         let (name, value) = text.split_once(':')?;
-        message.fields.push((name.to_owned(), value.trim().to_owned()));
+        message
+            .fields
+            .push((name.to_owned(), value.trim().to_owned()));
     }
 }
 
@@ -169,7 +176,9 @@
 /// Reads a request, its body at this rate in bytes a second; zero for no limit.
 fn read_request_at(reader: &mut impl BufRead, rate: u64) -> Option<Message> {
     let mut message = read_head(reader)?;
-    let length = message.field("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+    let length = message
+        .field("content-length")
+        .map_or(0, |text| text.parse().unwrap_or(0));
     message.body = vec![0; length];
     let started = Instant::now();
     let mut end = 0;
@@ -188,7 +197,15 @@
 fn shrink_receive_buffer(stream: &TcpStream) {
     let (sol_socket, so_rcvbuf, bytes) = (1, 8, 64 * 1024_i32);
     // SAFETY: the socket is open and the value is an integer.
-    unsafe { setsockopt(stream.as_raw_fd(), sol_socket, so_rcvbuf, &raw const bytes, 4) };
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            sol_socket,
+            so_rcvbuf,
+            &raw const bytes,
+            4,
+        )
+    };
 }
 
 /// JSON value, as far as the store needs it.
@@ -206,7 +223,10 @@
     }
 
     fn skip(text: &[char], at: &mut usize) {
-        while text.get(*at).is_some_and(|c| c.is_whitespace() || *c == ',' || *c == ':') {
+        while text
+            .get(*at)
+            .is_some_and(|c| c.is_whitespace() || *c == ',' || *c == ':')
+        {
             *at += 1;
         }
     }
@@ -256,7 +276,10 @@
             }
             _ => {
                 let mut out = String::new();
-                while text.get(*at).is_some_and(|c| !",]}".contains(*c) && !c.is_whitespace()) {
+                while text
+                    .get(*at)
+                    .is_some_and(|c| !",]}".contains(*c) && !c.is_whitespace())
+                {
                     out.push(text[*at]);
                     *at += 1;
                 }
@@ -269,7 +292,10 @@
         let Self::Object(items) = self else {
             return None;
         };
-        items.iter().find(|(name, _)| name == key).map(|(_, value)| value)
+        items
+            .iter()
+            .find(|(name, _)| name == key)
+            .map(|(_, value)| value)
     }
 
     fn list(&self, key: &str) -> &[Self] {
@@ -295,7 +321,10 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let number = chunk.iter().fold(0_u32, |sum, byte| (sum << 8) | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let number = chunk
+            .iter()
+            .fold(0_u32, |sum, byte| (sum << 8) | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for place in 0..4 {
             let digit = DIGITS[(number >> (18 - 6 * place) & 63) as usize] as char;
             out.push(if place <= chunk.len() { digit } else { '=' });
@@ -309,7 +338,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         if let Some(byte) = code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             out.push(byte);
             at += 3;
@@ -352,21 +383,28 @@
 impl StoreState {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
             created,
             lease,
         };
-        self.history.push((self.revision, key.to_owned(), item.json(key)));
+        self.history
+            .push((self.revision, key.to_owned(), item.json(key)));
         self.items.insert(key.to_owned(), item);
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let event = format!("{{\"Key\":\"{key}\",\"Revision\":{},\"Removed\":true}}", self.revision);
+            let event = format!(
+                "{{\"Key\":\"{key}\",\"Revision\":{},\"Removed\":true}}",
+                self.revision
+            );
             self.history.push((self.revision, key.to_owned(), event));
         }
     }
@@ -463,7 +501,10 @@
 
     fn answer(&self, request: &Message) -> (u16, String) {
         sleep_ms(4);
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let query = |name: &str| -> String {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let found = pairs.into_iter().find(|(key, _)| *key == name);
@@ -473,20 +514,38 @@
         let json = Json::parse(&body).unwrap_or(Json::List(Vec::new()));
         let mut state = lock(&self.state.0);
         state.expire();
-        let last = path.rsplit('/').next().unwrap_or_default().parse().unwrap_or(0);
+        let last = path
+            .rsplit('/')
+            .next()
+            .unwrap_or_default()
+            .parse()
+            .unwrap_or(0);
         match path.strip_prefix("/shallotdeal/").unwrap_or_default() {
             "kv-range" => {
                 let (prefix, after) = (query("Prefix"), query("after"));
-                let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let items = state
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let items: Vec<String> = items.map(|(key, item)| item.json(key)).collect();
                 let text = items.join(",");
-                (200, format!("{{\"items\":[{text}],\"Truncated\":false,\"StoreRevision\":{}}}", state.revision))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{text}],\"Truncated\":false,\"StoreRevision\":{}}}",
+                        state.revision
+                    ),
+                )
             }
             "kv-watch" => {
                 let (prefix, after) = (query("Prefix"), query("after").parse().unwrap_or(0));
-                let until = Instant::now() + Duration::from_millis(query("WaitMs").parse().unwrap_or(0));
+                let until =
+                    Instant::now() + Duration::from_millis(query("WaitMs").parse().unwrap_or(0));
                 loop {
-                    let events = state.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
+                    let events = state
+                        .history
+                        .iter()
+                        .filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
                     let events: Vec<String> = events.map(|(_, _, event)| event.clone()).collect();
                     let now = Instant::now();
                     if state.is_down {
@@ -494,7 +553,13 @@
                     }
                     if !events.is_empty() || now >= until {
                         let text = events.join(",");
-                        return (200, format!("{{\"events\":[{text}],\"StoreRevision\":{}}}", state.revision));
+                        return (
+                            200,
+                            format!(
+                                "{{\"events\":[{text}],\"StoreRevision\":{}}}",
+                                state.revision
+                            ),
+                        );
                     }
                     let waited = self.state.1.wait_timeout(state, until - now);
                     state = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
@@ -502,7 +567,10 @@
             }
             "kv-txn" => {
                 let holds = json.list("ExpectedRev").iter().all(|row| {
-                    let found = state.items.get(&row.text("Key")).map_or(0, |item| item.revision);
+                    let found = state
+                        .items
+                        .get(&row.text("Key"))
+                        .map_or(0, |item| item.revision);
                     found == row.number("Revision")
                 });
                 if !holds {
@@ -600,7 +668,9 @@
 
 /// Adds a tenant with a usage cap to a configuration document.
 pub fn with_tenant(document: &str, name: &str, key: &str, rate_per_s: u64, burst: u64) -> String {
-    let document = document.strip_suffix('}').expect("the document is an object");
+    let document = document
+        .strip_suffix('}')
+        .expect("the document is an object");
     format!(
         "{document},\"Tenants\":[{{\"Name\":\"{name}\",\"ApiKeys\":[\"{key}\"],\"Priority\":0,\
          \"RatePerS\":{rate_per_s},\"Burst\":{burst}}}]}}"
@@ -623,7 +693,12 @@
 }
 
 impl Machine {
-    pub fn new(name: &str, zone: &'static str, region: &'static str, service: &'static str) -> Self {
+    pub fn new(
+        name: &str,
+        zone: &'static str,
+        region: &'static str,
+        service: &'static str,
+    ) -> Self {
         let addrs = free_addrs(6);
         Self {
             name: name.into(),
@@ -669,7 +744,8 @@
     /// Asks the daemon whether it is ready.
     pub fn is_ready(&self) -> bool {
         let request = "GET /shallotdeal/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
-        exchange(self.ready, request.as_bytes(), 1_000).is_some_and(|answer| answer.start.contains(" 200"))
+        exchange(self.ready, request.as_bytes(), 1_000)
+            .is_some_and(|answer| answer.start.contains(" 200"))
     }
 
     /// Waits until the daemon is ready.
@@ -708,7 +784,12 @@
 
 impl Daemon {
     /// Starts the daemon with the command of the deploy file.
-    pub fn start(machine: &Machine, store: SocketAddr, folder: &Folder, record: &Record) -> Arc<Self> {
+    pub fn start(
+        machine: &Machine,
+        store: SocketAddr,
+        folder: &Folder,
+        record: &Record,
+    ) -> Arc<Self> {
         let config = folder.0.join(format!("{}.conf", machine.name));
         std::fs::write(&config, machine.settings(store)).expect("the settings are written");
         let daemon = Self {
@@ -726,7 +807,11 @@
 
     /// Starts the process again.
     pub fn spawn(&self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("the log opens");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("the log opens");
         let errors = log.try_clone().expect("the log opens twice");
         let child = Command::new("target/release/shallotdeal")
             .args(["daemon", "--config"])
@@ -736,7 +821,8 @@
             .stderr(errors)
             .spawn()
             .expect("the daemon starts; build it first");
-        self.record.line(&format!("daemon of {} started", self.machine.name));
+        self.record
+            .line(&format!("daemon of {} started", self.machine.name));
         *lock(&self.child) = Some(child);
     }
 
@@ -787,20 +873,29 @@
     /// Whether the process has ended by itself.
     pub fn has_ended(&self) -> bool {
         let mut child = lock(&self.child);
-        child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
     /// Lines of its log that contain a text.
     pub fn log_lines(&self, text: &str) -> usize {
         let log = std::fs::read(&self.log).unwrap_or_default();
-        String::from_utf8_lossy(&log).lines().filter(|line| line.contains(text)).count()
+        String::from_utf8_lossy(&log)
+            .lines()
+            .filter(|line| line.contains(text))
+            .count()
     }
 }
 
 /// What a worker does with a request.
 pub enum Reaction {
     /// Works for some time, then answers.
-    Answer { status: u16, work_ms: u64, body: Arc<Vec<u8>> },
+    Answer {
+        status: u16,
+        work_ms: u64,
+        body: Arc<Vec<u8>>,
+    },
     /// Crashes after a time, and is back as a new lifetime after another.
     Crash { after_ms: u64, down_ms: u64 },
 }
@@ -913,7 +1008,10 @@
             return;
         }
         self.crashes.fetch_add(1, Ordering::SeqCst);
-        self.record.line(&format!("worker of {} crashes ({})", self.machine.name, life.id));
+        self.record.line(&format!(
+            "worker of {} crashes ({})",
+            self.machine.name, life.id
+        ));
         // Ends the listener, whose loop waits for a connection.
         let _ = TcpStream::connect(self.machine.app);
         for conn in lock(&life.conns).drain(..) {
@@ -923,7 +1021,11 @@
         thread::spawn(move || {
             sleep_ms(down_ms);
             worker.begin_life();
-            worker.record.line(&format!("worker of {} is back ({})", worker.machine.name, worker.id()));
+            worker.record.line(&format!(
+                "worker of {} is back ({})",
+                worker.machine.name,
+                worker.id()
+            ));
         });
     }
 
@@ -938,14 +1040,19 @@
         }
         let mut reader = BufReader::with_capacity(16 * 1024, reading);
         while let Some(request) = read_request_at(&mut reader, rate) {
-            let attempt_id = request.field("X-Shallotdeal-Attempt-Id").unwrap_or_default().to_owned();
+            let attempt_id = request
+                .field("X-Shallotdeal-Attempt-Id")
+                .unwrap_or_default()
+                .to_owned();
             let head = |status: u16, more: &str, length: usize| {
                 format!(
                     "HTTP/1.1 {status} X\r\nX-Shallotdeal-Attempt-Id: {attempt_id}\r\n{more}Keep-Alive: timeout=10\r\n\
                      Content-Length: {length}\r\n\r\n"
                 )
             };
-            let other = request.field("X-Shallotdeal-Expect-Instance").is_some_and(|id| id != life.id);
+            let other = request
+                .field("X-Shallotdeal-Expect-Instance")
+                .is_some_and(|id| id != life.id);
             if other {
                 let more = format!("X-Shallotdeal-Instance-Id: {}\r\n", life.id);
                 if stream.write_all(head(421, &more, 0).as_bytes()).is_err() {
@@ -960,12 +1067,20 @@
             });
             match (self.handler)(&request) {
                 Reaction::Crash { after_ms, down_ms } => {
-                    self.record.line(&format!("{} runs {attempt_id} {}, which crashes it", self.machine.name, request.target()));
+                    self.record.line(&format!(
+                        "{} runs {attempt_id} {}, which crashes it",
+                        self.machine.name,
+                        request.target()
+                    ));
                     sleep_ms(after_ms);
                     self.crash(down_ms);
                     return;
                 }
-                Reaction::Answer { status, work_ms, body } => {
+                Reaction::Answer {
+                    status,
+                    work_ms,
+                    body,
+                } => {
                     sleep_ms(work_ms);
                     if !life.is_alive.load(Ordering::SeqCst) {
                         return;
@@ -1035,7 +1150,11 @@
 
 impl Seen {
     pub fn describe(&self) -> String {
-        let whole = if self.is_complete { "whole" } else { "NOT WHOLE" };
+        let whole = if self.is_complete {
+            "whole"
+        } else {
+            "NOT WHOLE"
+        };
         format!(
             "{}: status {}, {} of {} bytes, {whole}, after {} ms",
             self.attempt_id, self.status, self.body_bytes, self.length, self.took_ms
@@ -1061,7 +1180,12 @@
     seen
 }
 
-fn send_into(addr: SocketAddr, request: &Request, started: Instant, seen: &mut Seen) -> io::Result<()> {
+fn send_into(
+    addr: SocketAddr,
+    request: &Request,
+    started: Instant,
+    seen: &mut Seen,
+) -> io::Result<()> {
     let budget = Duration::from_millis(request.budget_ms);
     let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
@@ -1087,8 +1211,16 @@
     let Some(answer) = read_head(&mut reader) else {
         return Ok(());
     };
-    seen.status = answer.start.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-    seen.length = answer.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    seen.status = answer
+        .start
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    seen.length = answer
+        .field("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let reading = Instant::now();
     let mut buffer = vec![0; 16 * 1024];
     while seen.body_bytes < seen.length {
@@ -1112,7 +1244,11 @@
 /// Ends a case with its verdict.
 pub fn verdict(record: &Record, is_broken: bool, text: &str) -> i32 {
     record.line(text);
-    record.line(if is_broken { "verdict: the rule was broken" } else { "verdict: the rule held" });
+    record.line(if is_broken {
+        "verdict: the rule was broken"
+    } else {
+        "verdict: the rule held"
+    });
     println!("{text}");
     i32::from(is_broken)
 }
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -2,8 +2,8 @@
 //! that kills a process whose memory exceeds its limit.
 
 use super::standin::{
-    Daemon, Folder, MEMORY_MB, Machine, Reaction, Record, Request, Route, Store, Worker, config, has_trouble,
-    send, sleep_ms, verdict,
+    Daemon, Folder, MEMORY_MB, Machine, Reaction, Record, Request, Route, Store, Worker, config,
+    has_trouble, send, sleep_ms, verdict,
 };
 use std::{
     sync::{
@@ -65,7 +65,12 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let mut machines = Vec::new();
     for (index, (zone, region)) in zones.into_iter().enumerate() {
-        let machine = Machine::new(&format!("sidecar-{zone}-{index}"), zone, region, "order-desk");
+        let machine = Machine::new(
+            &format!("sidecar-{zone}-{index}"),
+            zone,
+            region,
+            "order-desk",
+        );
         let body = Arc::new(vec![b'a'; play.answer_bytes]);
         let worker = Worker::start(&machine, record, move |_| Reaction::Answer {
             status: 200,
@@ -78,8 +83,12 @@
         let daemon = Daemon::start(&machine, store.addr, folder, record);
         let counts = Arc::new(Counts::default());
         {
-            let (daemon, counts, is_over, record) =
-                (Arc::clone(&daemon), Arc::clone(&counts), Arc::clone(&is_over), record.clone());
+            let (daemon, counts, is_over, record) = (
+                Arc::clone(&daemon),
+                Arc::clone(&counts),
+                Arc::clone(&is_over),
+                record.clone(),
+            );
             thread::spawn(move || enforce_memory(&daemon, &counts, &is_over, &record));
         }
         machines.push((machine, worker, daemon, counts));
@@ -91,8 +100,12 @@
     }
     record.line("all daemons are ready; traffic begins");
     for (machine, _, _, counts) in &machines {
-        let (machine, counts, is_over, record) =
-            (machine.clone(), Arc::clone(counts), Arc::clone(&is_over), record.clone());
+        let (machine, counts, is_over, record) = (
+            machine.clone(),
+            Arc::clone(counts),
+            Arc::clone(&is_over),
+            record.clone(),
+        );
         let request = Request {
             method: "POST",
             host: "order.example",
@@ -103,11 +116,17 @@
             key: None,
         };
         let gap_ms = play.gap_ms;
-        thread::spawn(move || send_steadily(&machine, &request, gap_ms, &counts, &is_over, &record));
+        thread::spawn(move || {
+            send_steadily(&machine, &request, gap_ms, &counts, &is_over, &record)
+        });
     }
     let started = Instant::now();
     let play_s = if has_trouble() { PLAY_S } else { CALM_S };
-    let is_faulty = || machines.iter().all(|(.., counts)| counts.ends.load(Ordering::SeqCst) >= FAULT_ENDS);
+    let is_faulty = || {
+        machines
+            .iter()
+            .all(|(.., counts)| counts.ends.load(Ordering::SeqCst) >= FAULT_ENDS)
+    };
     while started.elapsed() < Duration::from_secs(play_s) && !is_faulty() {
         sleep_ms(100);
     }
@@ -118,8 +137,8 @@
     for (machine, _, _, counts) in &machines {
         let get = |counter: &AtomicU32| counter.load(Ordering::SeqCst);
         text.push(format!(
-            "{}: {} ends for memory over {MEMORY_MB} MB, peak {} MB; requests served {}, refused {}, read whole and \
-             left without an answer {}",
+            "{}: {} ends for memory over {MEMORY_MB} MB, peak {} MB; requests served {}, refused {}, ended \
+             without a whole answer {}",
             machine.name,
             get(&counts.ends),
             counts.peak_kib.load(Ordering::SeqCst) / 1_024,
@@ -143,7 +162,10 @@
         daemon.kill();
         counts.ends.fetch_add(1, Ordering::SeqCst);
         let name = &daemon.machine.name;
-        record.line(&format!("{name}: memory {} MB, the platform kills the daemon", memory_kib / 1_024));
+        record.line(&format!(
+            "{name}: memory {} MB, the platform kills the daemon",
+            memory_kib / 1_024
+        ));
         sleep_ms(RESTART_MS);
         if !is_over.load(Ordering::SeqCst) {
             daemon.spawn();
