--- a/review/standin-2/lib.rs
+++ b/review/standin-2/lib.rs
@@ -142,7 +142,7 @@
     }
 }
 
-fn read_head(reader: &mut impl BufRead) -> Option<Message> {
+pub fn read_head(reader: &mut impl BufRead) -> Option<Message> {
     let mut line = String::new();
     if reader.read_line(&mut line).ok()? == 0 {
         return None;
@@ -927,6 +927,8 @@
     pub crashes: AtomicU32,
     /// Rate at which it reads bodies, in bytes a second; zero for no limit.
     pub read_rate: AtomicU64,
+    /// Whether it sends no liveness reports.
+    pub is_silent: AtomicBool,
     record: Record,
 }
 
@@ -943,6 +945,7 @@
             runs: Mutex::default(),
             crashes: AtomicU32::new(0),
             read_rate: AtomicU64::new(0),
+            is_silent: AtomicBool::new(false),
             record: record.clone(),
         });
         worker.begin_life();
@@ -950,7 +953,8 @@
         thread::spawn(move || {
             loop {
                 let life = Arc::clone(&lock(&reporting.life));
-                if life.is_alive.load(Ordering::SeqCst) {
+                let is_silent = reporting.is_silent.load(Ordering::SeqCst);
+                if life.is_alive.load(Ordering::SeqCst) && !is_silent {
                     let sequence = life.sequence.fetch_add(1, Ordering::SeqCst) + 1;
                     reporting.report(&life, sequence, "ready");
                 }
@@ -984,6 +988,29 @@
         });
     }
 
+    /// Begins a liveness report `ready` that the network delays. The returned function delivers it,
+    /// and returns whether it was acknowledged.
+    pub fn delayed_report(self: &Arc<Self>) -> impl FnOnce() -> bool + use<> {
+        let life = Arc::clone(&lock(&self.life));
+        let sequence = life.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let worker = Arc::clone(self);
+        move || worker.report(&life, sequence, "ready")
+    }
+
+    /// Says that it leaves; returns whether that was acknowledged.
+    pub fn deregister(&self) -> bool {
+        let life = Arc::clone(&lock(&self.life));
+        let body = format!("{{\"born\":{}}}", life.born);
+        let request = format!(
+            "POST /shallotdeal/Instances.Deregister/{} HTTP/1.1\r\nHost: control\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            life.id,
+            body.len()
+        );
+        let answer = exchange(self.machine.control, request.as_bytes(), 1_000);
+        answer.is_some_and(|answer| answer.start.contains(" 200"))
+    }
+
     /// Sends a liveness report; returns whether it was acknowledged.
     fn report(&self, life: &Life, sequence: u64, state: &str) -> bool {
         let body = format!(
